--- /dev/null
+++ b/src/main/java/ochretiller/Choice.java
@@ -0,0 +1,976 @@
+package ochretiller;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import ochretiller.model.Advert;
+import ochretiller.model.CallEnd;
+import ochretiller.model.Gauges;
+import ochretiller.model.InvId;
+import ochretiller.model.Invocation;
+import ochretiller.model.Operation;
+import ochretiller.model.RunEnd;
+import ochretiller.model.Tenant;
+import ochretiller.model.TenantId;
+import ochretiller.server.Server;
+import ochretiller.server.Step;
+
+/**
+ * All decisions of one server: what it runs, holds, replays, turns away, and what it tells its callers.
+ *
+ * <p>How it is called: its owner builds the parts, each with its own few settings, and tells what happens by the entry
+ * methods {@link #started}, {@link #arrived}, {@link #blocked}, {@link #gone} and {@link #leave}. Each returns a
+ * {@link Step} to be acted out on the {@link Server}, the interface, in {@code ochretiller.server}; results of runs,
+ * calls and timers go to the continuations left there. Instances share nothing. docs/design.md tells why.
+ */
+public final class Choice {
+    /** Beat of all that is checked over and over; a small part of the shortest objective, cheap in time spent. */
+    private static final Duration BEAT = Duration.ofMillis(20);
+    /** Lead of a last answer on its due time: some beats, and batches that come late. */
+    private static final Duration LEAD = Duration.ofMillis(80);
+    /** The way back to the client; an answer is aimed to leave so long before the objective. */
+    private static final Duration WAY_BACK = Duration.ofMillis(30);
+    /** Bucket of the measuring rings, and how many: ten seconds follow a change yet hold enough ends. */
+    private static final Duration BUCKET = Duration.ofMillis(500);
+    private static final int BUCKETS = 20;
+    /** Window of the run limit's climb: some dozens of ends on a server of few cores. */
+    private static final Duration CLIMB = Duration.ofMillis(500);
+    /** Core use under which there is room for one more run, and over which the cores are busy; shares. */
+    private static final double ROOM = 0.85;
+    private static final double BUSY = 0.95;
+    /** Fall of completions between windows that is more than chance; share. */
+    private static final double FELL = 0.15;
+    /** Share of the crowd that a server survives which the run limit may reach: resumed calls come on top. */
+    private static final double CROWD = 0.6;
+    /** Share of the memory that is used, and that all tokens may take: a read invocation may come at any time. */
+    private static final double MEMORY = 0.9;
+    private static final double TOKENS = 0.4;
+    /** Share of the calls below that this server's slice allows; a slice is what breaks what lies below. */
+    private static final double SLICE = 0.6;
+    /** Started invocations waiting for a place at a call, by core: more only fill memory. */
+    private static final int PARKED = 2;
+    /** Expected work before anything was measured, as a share of the latency objective. */
+    private static final double UNKNOWN_WORK = 0.2;
+    /** A held invocation is given up when even this multiple of its expected run no longer fits. */
+    private static final double FIT = 1.0;
+    /** Throttled share of what was read over which other servers are taken to be no better off. */
+    private static final double CROWDED = 0.5;
+    /** Shortest advice to stay away: about the time in which one run ends. */
+    private static final Duration ADVICE = Duration.ofMillis(100);
+    /** Steps of the openness told to callers by beat of the signals, up by this, down by that factor. */
+    private static final Duration TELL = Duration.ofMillis(100);
+    private static final double OPEN = 1.04;
+    private static final double CLOSE = 0.9;
+    private static final double SHUT = 0.02;
+    /** Window, by core, that all callers together get at full openness. */
+    private static final double WINDOW = 6;
+    /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
+    private static final double LONG_WAIT = 0.2;
+    /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
+    private static final double QUOTA_SLACK = 1.3;
+
+    private enum State { HELD, WAITING, REPLAYING, RUNNING, PARKED, CALLING }
+
+    /** One invocation that was read and is not over. */
+    static final class Work {
+        final Invocation inv;
+        double worth = 1;
+        State state = State.HELD;
+        boolean ran;
+        boolean answered;
+        Duration startedAt = Duration.ZERO;
+        Duration offCores = Duration.ZERO;
+        Duration parkedAt = Duration.ZERO;
+
+        Work(Invocation inv) {
+            this.inv = inv;
+        }
+
+        Operation operation() {
+            return inv.operation();
+        }
+
+        /** When its run must have ended to earn the whole billed value. */
+        Duration goal() {
+            return min(inv.arrived().plus(operation().objective()), inv.due()).minus(WAY_BACK);
+        }
+    }
+
+    private final TokenTable tokens;
+    private final RunLimit limit;
+    private final Hold hold;
+    private final Calls calls;
+    private final Memory memory;
+    private final Drain drain;
+    private final Signals signals;
+    private final Map<InvId, Work> works = new LinkedHashMap<>();
+
+    public Choice(TokenTable tokens, RunLimit limit, Hold hold, Calls calls, Memory memory, Drain drain,
+                  Signals signals) {
+        this.tokens = tokens;
+        this.limit = limit;
+        this.hold = hold;
+        this.calls = calls;
+        this.memory = memory;
+        this.drain = drain;
+        this.signals = signals;
+    }
+
+    /** The server has started. */
+    public Step started() {
+        return server -> {
+            server.health(true, true);
+            server.after(BEAT, this::beat);
+        };
+    }
+
+    /** An invocation has been read and lies in the hold. */
+    public Step arrived(Invocation inv) {
+        return server -> {
+            Work work = new Work(inv);
+            works.put(inv.id(), work);
+            memory.take(inv.kb());
+            signals.read(server.now());
+            work.worth = hold.worth(inv, server.now());
+            Token token = inv.forerunner() == null ? null : tokens.find(inv.forerunner());
+            if (!inv.operation().tokened() || token != null && token.state == Token.State.DROPPED) {
+                admit(server, work);
+            } else if (inv.forerunner() != null) {
+                repeat(server, work, token);
+            } else {
+                admit(server, work);
+            }
+            relieve(server);
+            fill(server);
+        };
+    }
+
+    /** A repeat of a kept try: it replays the answer, or waits for the mark to clear, and never runs. */
+    private void repeat(Server server, Work work, Token token) {
+        if (token == null || token.state == Token.State.SUCCEEDED) {
+            replay(server, work); // an unknown forerunner may have run: its answer, or an error, is all there is
+        } else if (token.state == Token.State.LOST) {
+            // Guards against a second effect: a run that failed or was stopped may have done its work.
+            fail(server, work);
+        } else {
+            work.state = State.WAITING;
+            token.waiting.add(work);
+        }
+    }
+
+    private void admit(Server server, Work work) {
+        Duration now = server.now();
+        if (drain.forbids(work.inv, now)) {
+            throttle(server, work, false);
+            return;
+        }
+        if (work.operation().tokened()) {
+            // Guards against running twice: an unkept one's repeat is unmarked, so it is marked before it waits.
+            if (!tokens.room(now) || !memory.room(tokens.entryKb, tokens.kb(now))) {
+                throttle(server, work, false);
+                return;
+            }
+            tokens.open(work.inv, now);
+            server.keep(work.inv.id(), work.inv.arrived().plus(work.operation().window()).minus(now));
+        }
+        work.state = State.HELD;
+        hold.add(work);
+        squeeze(server);
+    }
+
+    /** Gives up what cannot start in time any more; the places go by who has most in the hold. */
+    private void squeeze(Server server) {
+        for (Work late : hold.squeeze(server.now(), limit.now(server.now()), running())) {
+            throttle(server, late, server.now().compareTo(late.goal()) > 0);
+        }
+    }
+
+    /** Guards against the death by memory: held work makes room, whoever has most first. */
+    private void relieve(Server server) {
+        while (!memory.room(0, tokens.kb(server.now())) && hold.size() > 0) {
+            Work loser = hold.loser(hold.ordered(server.now()));
+            hold.remove(loser);
+            throttle(server, loser, false);
+        }
+    }
+
+    /** Starts held invocations while the run limit, memory and the places at calls allow it. */
+    private void fill(Server server) {
+        Duration now = server.now();
+        int room = limit.now(now) - (int) works.values().stream().filter(w -> w.state == State.RUNNING).count();
+        if (room <= 0 || hold.size() == 0) {
+            return;
+        }
+        boolean parkedFull = calls.parked() >= PARKED * limit.cores;
+        for (Work work : hold.ordered(now)) {
+            if (room == 0 || !memory.roomToRun(work.inv.kb(), tokens.kb(now))) {
+                return;
+            }
+            if (!(parkedFull && work.operation().calls())) {
+                hold.remove(work);
+                run(server, work);
+                room--;
+            }
+        }
+    }
+
+    private void run(Server server, Work work) {
+        work.state = State.RUNNING;
+        work.ran = true;
+        work.startedAt = server.now();
+        memory.run(work.inv.kb());
+        tokens.mark(work.inv.id(), Token.State.RUNNING);
+        server.run(work.inv.id(), end -> ended(work, end));
+    }
+
+    private void replay(Server server, Work work) {
+        work.state = State.REPLAYING;
+        server.replay(work.inv.id(), end -> then -> forget(work));
+    }
+
+    /** A run is over: its mark is cleared, repeats that waited get the answer, and its place is free. */
+    private Step ended(Work work, RunEnd end) {
+        return server -> {
+            Duration now = server.now();
+            if (work.state == State.CALLING) {
+                calls.left(now);
+            }
+            calls.unpark(work);
+            forget(work);
+            if (end.result() == RunEnd.Result.SUCCEEDED || end.result() == RunEnd.Result.ERRORED) {
+                limit.ended(now);
+            }
+            if (end.result() == RunEnd.Result.SUCCEEDED) {
+                hold.measured(work.inv, end.took().minus(work.offCores), now);
+            }
+            Token token = tokens.mark(work.inv.id(),
+                end.result() == RunEnd.Result.SUCCEEDED ? Token.State.SUCCEEDED : Token.State.LOST);
+            if (token != null) {
+                for (Work waiting : token.release()) {
+                    if (token.state == Token.State.SUCCEEDED) {
+                        replay(server, waiting);
+                    } else {
+                        fail(server, waiting);
+                    }
+                }
+            }
+            pump(server);
+            fill(server);
+        };
+    }
+
+    /** A running invocation waits for a call below. */
+    public Step blocked(InvId id) {
+        return server -> {
+            Work work = works.get(id);
+            if (work != null && !work.answered) {
+                work.parkedAt = server.now();
+                park(server, work);
+                fill(server);
+            }
+        };
+    }
+
+    private void park(Server server, Work work) {
+        work.state = State.PARKED;
+        calls.park(work);
+        pump(server);
+    }
+
+    /** Makes the calls that the bound allows. */
+    private void pump(Server server) {
+        Duration now = server.now();
+        for (Work work = calls.next(now); work != null; work = calls.next(now)) {
+            Work caller = work;
+            caller.state = State.CALLING;
+            Duration patience = caller.inv.due().minus(LEAD).minus(now);
+            server.call(caller.inv.id(), max(patience, BEAT), end -> called(caller, end));
+        }
+    }
+
+    private Step called(Work work, CallEnd end) {
+        return server -> {
+            Duration now = server.now();
+            calls.ended(now, end);
+            if (end.result() == CallEnd.Result.SUCCEEDED) {
+                work.state = State.RUNNING;
+                work.offCores = work.offCores.plus(now.minus(work.parkedAt));
+                pump(server);
+                return;
+            }
+            work.state = State.PARKED;
+            if (!work.answered && end.result().neverRan()) {
+                server.after(BEAT, gauges -> again -> {
+                    if (work.state == State.PARKED && !work.answered) {
+                        park(again, work);
+                    }
+                });
+            } else if (!work.answered) {
+                if (work.operation().degradedShare() > 0) {
+                    work.state = State.RUNNING;
+                    server.skipCall(work.inv.id());
+                } else {
+                    fail(server, work); // a call that may have run is never made again
+                }
+            }
+            pump(server);
+        };
+    }
+
+    /** The caller of an invocation is gone; no answer is owed. */
+    public Step gone(InvId id) {
+        return server -> {
+            Work work = works.get(id);
+            if (work == null) {
+                return;
+            }
+            work.answered = true;
+            switch (work.state) {
+                case HELD -> {
+                    hold.remove(work);
+                    dropped(server, work);
+                    forget(work);
+                }
+                case WAITING, REPLAYING -> {
+                    tokens.leave(work);
+                    forget(work);
+                }
+                case RUNNING -> stopUnwanted(server, work);
+                case PARKED -> calls.unpark(work);
+                default -> { } // at a call: the end of its run follows
+            }
+            fill(server);
+        };
+    }
+
+    /** Stops work that nobody waits for; a tokened run goes on, since its repeat can be answered from it. */
+    private void stopUnwanted(Server server, Work work) {
+        if (limit.canStop && work.operation().idempotent()) {
+            server.stop(work.inv.id());
+        }
+    }
+
+    /** Notice to leave: the process is killed at {@code kill}. */
+    public Step leave(Duration kill) {
+        return server -> {
+            drain.notice(server.now(), kill);
+            server.health(false, true);
+            signals.shut(server);
+        };
+    }
+
+    private Step beat(Gauges gauges) {
+        return server -> {
+            Duration now = server.now();
+            limit.observe(now, gauges, hold.size());
+            for (Work work : new ArrayList<>(works.values())) {
+                overdue(server, work, now);
+            }
+            squeeze(server);
+            pump(server);
+            fill(server);
+            if (!drain.noticed()) {
+                signals.tell(server, hold.wait(now, limit.now(now), running()), hold.shortest());
+            }
+            server.after(BEAT, this::beat);
+        };
+    }
+
+    /** Answers in time, whatever still runs: the due time, and the kill of a process that leaves. */
+    private void overdue(Server server, Work work, Duration now) {
+        if (work.answered || !works.containsKey(work.inv.id())) {
+            return;
+        }
+        boolean due = now.compareTo(min(work.inv.due(), drain.kill()).minus(LEAD)) >= 0;
+        boolean lost = work.ran && work.operation().idempotent() && work.operation().lateShare() == 0
+            && limit.canStop && hold.size() > 0 && now.compareTo(work.goal()) > 0;
+        if (work.state == State.HELD && (due || drain.forbids(work.inv, now))) {
+            hold.remove(work);
+            throttle(server, work, false);
+        } else if (work.state == State.WAITING && due) {
+            tokens.leave(work);
+            Token token = tokens.find(work.inv.forerunner());
+            if (token != null && token.state == Token.State.UNRUN) {
+                throttle(server, work, false);
+            } else {
+                fail(server, work); // its forerunner has started, so to turn it away would be untrue
+            }
+        } else if (due && work.state != State.HELD) {
+            fail(server, work);
+            if (work.state == State.RUNNING) {
+                stopUnwanted(server, work);
+            }
+        } else if (lost && work.state == State.RUNNING) {
+            // Past its objective it earns nothing any more, and others wait for its core.
+            work.answered = true;
+            server.throttle(work.inv.id(), signals.advice(hold.wait(now, limit.now(now), running())), true);
+            stopUnwanted(server, work);
+        }
+    }
+
+    /** Turns away what never ran; {@code last} where no other server could be in time. */
+    private void throttle(Server server, Work work, boolean last) {
+        Duration now = server.now();
+        dropped(server, work);
+        signals.throttled(now);
+        server.throttle(work.inv.id(), signals.advice(hold.wait(now, limit.now(now), running())),
+            !drain.noticed() && (last || signals.crowded(now)));
+        work.answered = true;
+        forget(work);
+    }
+
+    private void fail(Server server, Work work) {
+        server.fail(work.inv.id());
+        work.answered = true;
+        if (work.state == State.PARKED) {
+            calls.unpark(work);
+        }
+        if (!work.ran) {
+            forget(work);
+        }
+    }
+
+    /** What never ran leaves no mark; a repeat that waited for it takes its place. */
+    private void dropped(Server server, Work work) {
+        Token token = tokens.find(work.inv.id());
+        if (token == null || token.state != Token.State.UNRUN) {
+            return;
+        }
+        List<Work> waiting = token.release();
+        token.state = Token.State.DROPPED;
+        tokens.close(token);
+        server.erase(work.inv.id());
+        for (Work next : waiting) {
+            Token first = tokens.find(waiting.get(0).inv.id());
+            if (first == null || first.state == Token.State.DROPPED) {
+                admit(server, next);
+            } else {
+                repeat(server, next, first);
+            }
+        }
+    }
+
+    /** It is over, and its memory is back. */
+    private void forget(Work work) {
+        if (works.remove(work.inv.id()) != null) {
+            memory.release(work.inv.kb(), work.ran);
+        }
+    }
+
+    private Collection<Work> running() {
+        return works.values().stream().filter(w -> w.state == State.RUNNING).toList();
+    }
+
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
+    private static double seconds(Duration span) {
+        return span.toNanos() / 1e9;
+    }
+
+    private static Duration span(double seconds) {
+        return Duration.ofNanos((long) (Math.min(seconds, 1e6) * 1e9));
+    }
+
+    /** Sums over the last buckets of time, which are used again in a ring. */
+    static final class Ring {
+        private final double[] sums = new double[BUCKETS];
+        private final double[] counts = new double[BUCKETS];
+        private long head;
+
+        void add(Duration now, double x) {
+            turn(now);
+            sums[(int) (head % BUCKETS)] += x;
+            counts[(int) (head % BUCKETS)]++;
+        }
+
+        double sum(Duration now) {
+            turn(now);
+            return Arrays.stream(sums).sum();
+        }
+
+        double count(Duration now) {
+            turn(now);
+            return Arrays.stream(counts).sum();
+        }
+
+        private void turn(Duration now) {
+            long to = now.dividedBy(BUCKET);
+            for (long i = Math.max(head + 1, to - BUCKETS + 1); i <= to; i++) {
+                sums[(int) (i % BUCKETS)] = 0;
+                counts[(int) (i % BUCKETS)] = 0;
+            }
+            head = Math.max(head, to);
+        }
+    }
+
+    /** The entry of one tokened try: the mark, and the repeats that wait for it. */
+    static final class Token {
+        enum State { UNRUN, RUNNING, SUCCEEDED, LOST, DROPPED }
+
+        final Duration expires;
+        State state = State.UNRUN;
+        List<Work> waiting = new ArrayList<>();
+        boolean closed;
+
+        Token(Duration expires) {
+            this.expires = expires;
+        }
+
+        List<Work> release() {
+            List<Work> released = waiting;
+            waiting = new ArrayList<>();
+            return released;
+        }
+    }
+
+    /** The table of tokened tries: a repeat is known by its tie to a kept one. */
+    public static final class TokenTable {
+        private final double entryKb;
+        private final double shareKb;
+        private final Map<InvId, Token> entries = new HashMap<>();
+        private final PriorityQueue<Token> live = new PriorityQueue<>(Comparator.comparing(t -> t.expires));
+        private final ArrayDeque<InvId> order = new ArrayDeque<>();
+
+        public TokenTable(double entryKb, double memoryKb) {
+            this.entryKb = entryKb;
+            this.shareKb = memoryKb * TOKENS;
+        }
+
+        Token find(InvId id) {
+            return entries.get(id);
+        }
+
+        double kb(Duration now) {
+            while (!live.isEmpty() && live.peek().expires.compareTo(now) <= 0) {
+                live.poll();
+            }
+            return live.size() * entryKb;
+        }
+
+        /** A full share turns newcomers away before they run; live entries stay. */
+        boolean room(Duration now) {
+            return kb(now) + entryKb <= shareKb;
+        }
+
+        Token open(Invocation inv, Duration now) {
+            Token token = new Token(inv.arrived().plus(inv.operation().window()));
+            entries.put(inv.id(), token);
+            live.add(token);
+            order.add(inv.id());
+            // A repeat may be read long after it came: an entry is known for one more client timeout.
+            while (now.compareTo(entries.get(order.peek()).expires.plus(inv.operation().clientTimeout())) > 0) {
+                entries.remove(order.poll());
+            }
+            return token;
+        }
+
+        Token mark(InvId id, Token.State state) {
+            Token token = entries.get(id);
+            if (token != null) {
+                token.state = state;
+            }
+            return token;
+        }
+
+        void leave(Work work) {
+            Token token = entries.get(work.inv.forerunner());
+            if (token != null) {
+                token.waiting.remove(work);
+            }
+        }
+
+        void close(Token token) {
+            live.remove(token);
+        }
+    }
+
+    /** How many run at once: climbed on throughput, never under the cores, and under the crowd that kills. */
+    public static final class RunLimit {
+        private final int cores;
+        private final double fallMultiple;
+        private final double coldShare;
+        private final Duration coldFor;
+        private final boolean canStop;
+        private double limit;
+        private double step = 1;
+        private double ends;
+        private double lastEnds;
+        private Duration windowEnd = CLIMB;
+
+        public RunLimit(int cores, double fallMultiple, double coldShare, Duration coldFor, boolean canStop) {
+            this.cores = cores;
+            this.fallMultiple = fallMultiple;
+            this.coldShare = coldShare;
+            this.coldFor = coldFor;
+            this.canStop = canStop;
+            this.limit = cores;
+        }
+
+        /** The limit at this time; a cold server survives a smaller crowd. */
+        int now(Duration now) {
+            double warm = coldFor.isZero() ? 1 : Math.min(1, seconds(now) / seconds(coldFor));
+            double speed = coldShare + (1 - coldShare) * warm;
+            return (int) Math.max(cores, Math.min(limit, cores * (1 + (fallMultiple - 1) * speed) * CROWD));
+        }
+
+        void ended(Duration now) {
+            ends++;
+        }
+
+        void observe(Duration now, Gauges gauges, int held) {
+            if (now.compareTo(windowEnd) < 0) {
+                return;
+            }
+            if (held > 0 && gauges.coreUse() < ROOM) {
+                limit = Math.min(limit + step, cores * fallMultiple);
+                step *= 2;
+            } else if (gauges.coreUse() > BUSY && ends < lastEnds * (1 - FELL)) {
+                step = 1;
+                limit = Math.max(cores, limit - step);
+            } else {
+                step = 1;
+            }
+            lastEnds = ends;
+            ends = 0;
+            windowEnd = now.plus(CLIMB);
+        }
+    }
+
+    /** Held invocations: their order, what they are expected to cost, and who loses a place. */
+    public static final class Hold {
+        private final Map<TenantId, Double> shares = new HashMap<>();
+        private final Map<TenantId, Double> quotas = new HashMap<>();
+        private final Map<TenantId, Ring> sent = new HashMap<>();
+        private final double overShareWorth;
+        private final boolean byWork;
+        private final List<Work> held = new ArrayList<>();
+        private final Map<Operation, Ring> taken = new HashMap<>();
+        private final Ring overHint = new Ring();
+        private final Ring hints = new Ring();
+
+        public Hold(List<Tenant> tenants, int peers, double overShareWorth, boolean byWork) {
+            this.overShareWorth = overShareWorth;
+            this.byWork = byWork;
+            for (Tenant tenant : tenants) {
+                shares.put(tenant.id(), tenant.share());
+                quotas.put(tenant.id(), tenant.quota() / Math.max(1, peers) * QUOTA_SLACK);
+                sent.put(tenant.id(), new Ring());
+            }
+        }
+
+        /** Share of the billed value that counts: what a tenant sends beyond its quota is worth little. */
+        double worth(Invocation inv, Duration now) {
+            Ring ring = sent.get(inv.tenant());
+            if (ring == null) {
+                return 1;
+            }
+            double span = Math.min(seconds(now), seconds(BUCKET) * BUCKETS);
+            if (span > 1 && ring.count(now) / span > quotas.get(inv.tenant())) {
+                return overShareWorth;
+            }
+            ring.add(now, 1);
+            return 1;
+        }
+
+        int size() {
+            return held.size();
+        }
+
+        void add(Work work) {
+            held.add(work);
+        }
+
+        void remove(Work work) {
+            held.remove(work);
+        }
+
+        /** A run took so long on the cores. */
+        void measured(Invocation inv, Duration took, Duration now) {
+            taken.computeIfAbsent(inv.operation(), o -> new Ring()).add(now, seconds(took));
+            if (inv.hint() != null) {
+                overHint.add(now, seconds(took));
+                hints.add(now, seconds(inv.hint()));
+            }
+        }
+
+        /** Expected time on the cores, in seconds: the hint as it proved of late, else what the operation took. */
+        double expected(Invocation inv, Duration now) {
+            if (inv.hint() != null && hints.count(now) > 0) {
+                return seconds(inv.hint()) * overHint.sum(now) / Math.max(1e-9, hints.sum(now));
+            }
+            Ring ring = taken.get(inv.operation());
+            return ring != null && ring.count(now) > 0 ? ring.sum(now) / ring.count(now)
+                : seconds(inv.operation().objective()) * UNKNOWN_WORK;
+        }
+
+        /** Billed value over expected work, and the oldest first. */
+        List<Work> ordered(Duration now) {
+            Map<Work, Double> rates = new HashMap<>();
+            for (Work work : held) {
+                double value = work.operation().value() * work.worth;
+                rates.put(work, byWork ? value : value / Math.max(1e-6, expected(work.inv, now)));
+            }
+            List<Work> ordered = new ArrayList<>(held);
+            ordered.sort(Comparator.<Work>comparingDouble(w -> -rates.get(w)).thenComparing(w -> w.inv.arrived())
+                .thenComparing(w -> w.inv.id().value()));
+            return ordered;
+        }
+
+        /** Seconds of work left in the runs, halved: they end one after another. */
+        private double runsLeft(Duration now, Collection<Work> running) {
+            double left = 0;
+            for (Work work : running) {
+                double expected = expected(work.inv, now);
+                double done = seconds(now.minus(work.startedAt).minus(work.offCores));
+                left += Math.max(expected - done, expected / 4);
+            }
+            return left / 2;
+        }
+
+        /** Time until what comes last would start. */
+        Duration wait(Duration now, int limit, Collection<Work> running) {
+            double ahead = running.size() < limit ? 0 : runsLeft(now, running);
+            for (Work work : held) {
+                ahead += expected(work.inv, now);
+            }
+            return span(ahead / limit);
+        }
+
+        /** Takes out what has to go so that all that stays is expected to end within its objective. */
+        List<Work> squeeze(Duration now, int limit, Collection<Work> running) {
+            List<Work> losers = new ArrayList<>();
+            List<Work> ordered = ordered(now);
+            double first = running.size() < limit ? 0 : runsLeft(now, running);
+            double ahead = first;
+            for (int i = 0; i < ordered.size(); i++) {
+                Work work = ordered.get(i);
+                double expected = expected(work.inv, now);
+                if (now.plus(span(ahead / limit + expected * FIT)).compareTo(work.goal()) > 0) {
+                    Work loser = ahead == first ? work : loser(ordered.subList(0, i + 1));
+                    ordered.remove(loser);
+                    held.remove(loser);
+                    losers.add(loser);
+                    ahead = first;
+                    i = -1;
+                } else {
+                    ahead += expected;
+                }
+            }
+            return losers;
+        }
+
+        /** Whoever has most in the hold, for its share, loses the place of its least urgent. */
+        Work loser(List<Work> ordered) {
+            Map<Object, Double> counts = new HashMap<>();
+            for (Work work : held) {
+                counts.merge(group(work), 1 / shares.getOrDefault(work.inv.tenant(), 1.0), Double::sum);
+            }
+            Work loser = null;
+            for (Work work : ordered) {
+                if (loser == null || counts.get(group(work)) >= counts.get(group(loser))) {
+                    loser = work;
+                }
+            }
+            return loser;
+        }
+
+        private static Object group(Work work) {
+            return work.inv.tenant() != null ? work.inv.tenant() : work.inv.caller();
+        }
+
+        Duration shortest() {
+            return taken.keySet().stream().map(Operation::objective).min(Comparator.naturalOrder())
+                .orElse(Duration.ofSeconds(1));
+        }
+    }
+
+    /** Calls below: how many are in hand at once, and who makes the next. */
+    public static final class Calls {
+        private final double bound;
+        private final Duration linger;
+        private final ArrayDeque<Work> parked = new ArrayDeque<>();
+        private final ArrayDeque<Duration> lingering = new ArrayDeque<>();
+        private int inHand;
+
+        public Calls(double slice, int cores, Duration span, Duration linger) {
+            this.bound = Math.max(1, Math.min(slice * SLICE, cores * 4.0));
+            this.linger = linger;
+        }
+
+        int parked() {
+            return parked.size();
+        }
+
+        void park(Work work) {
+            parked.add(work);
+        }
+
+        void unpark(Work work) {
+            parked.remove(work);
+        }
+
+        /** The next to make its call, or null; a call given up stays in the hands of what lies below a while. */
+        Work next(Duration now) {
+            while (!lingering.isEmpty() && lingering.peek().compareTo(now) <= 0) {
+                lingering.poll();
+            }
+            if (parked.isEmpty() || inHand + lingering.size() + 1 > bound) {
+                return null;
+            }
+            inHand++;
+            return parked.poll();
+        }
+
+        void ended(Duration now, CallEnd end) {
+            inHand--;
+            if (end.result() == CallEnd.Result.TIMED_OUT) {
+                lingering.add(now.plus(linger));
+            }
+        }
+
+        /** Its invocation ended while the call was out. */
+        void left(Duration now) {
+            inHand--;
+            lingering.add(now.plus(linger));
+        }
+    }
+
+    /** Memory of held and running invocations and kept tokens. */
+    public static final class Memory {
+        private final double limitKb;
+        private final double runFactor;
+        private double usedKb;
+
+        public Memory(double memoryKb, double runFactor) {
+            this.limitKb = memoryKb * MEMORY;
+            this.runFactor = runFactor;
+        }
+
+        void take(double kb) {
+            usedKb += kb;
+        }
+
+        void run(double kb) {
+            usedKb += kb * (runFactor - 1);
+        }
+
+        void release(double kb, boolean ran) {
+            usedKb -= ran ? kb * runFactor : kb;
+        }
+
+        boolean room(double moreKb, double tokensKb) {
+            return usedKb + tokensKb + moreKb <= limitKb;
+        }
+
+        boolean roomToRun(double kb, double tokensKb) {
+            return room(kb * (runFactor - 1), tokensKb);
+        }
+    }
+
+    /** Leaving: what came after the grace is not run, and all is answered before the kill. */
+    public static final class Drain {
+        private static final Duration NEVER = Duration.ofDays(10_000);
+        private final Duration grace;
+        private Duration lastRun = NEVER;
+        private Duration kill = NEVER;
+
+        public Drain(Duration grace) {
+            this.grace = grace;
+        }
+
+        void notice(Duration now, Duration killAt) {
+            lastRun = now.plus(grace).minus(BEAT);
+            kill = killAt;
+        }
+
+        boolean noticed() {
+            return kill != NEVER;
+        }
+
+        Duration kill() {
+            return kill;
+        }
+
+        boolean forbids(Invocation inv, Duration now) {
+            return inv.arrived().compareTo(lastRun) > 0 || now.compareTo(kill.minus(LEAD)) >= 0;
+        }
+    }
+
+    /** What callers are told: when to return, whether to try elsewhere, and how open the server is. */
+    public static final class Signals {
+        private final Advert advert;
+        private final int callers;
+        private final int cores;
+        private final Duration longestAdvice;
+        private final SplittableRandom chance;
+        private final Ring reads = new Ring();
+        private final Ring throttles = new Ring();
+        private double openness = 1;
+        private Duration nextTell = Duration.ZERO;
+
+        public Signals(Advert advert, int callers, int cores, Duration longestAdvice, SplittableRandom chance) {
+            this.advert = advert;
+            this.callers = callers;
+            this.cores = cores;
+            this.longestAdvice = longestAdvice;
+            this.chance = chance;
+        }
+
+        void read(Duration now) {
+            reads.add(now, 1);
+        }
+
+        void throttled(Duration now) {
+            throttles.add(now, 1);
+        }
+
+        boolean crowded(Duration now) {
+            return throttles.count(now) > CROWDED * reads.count(now);
+        }
+
+        /** The wait in the hold, spread a little so that not all return at once. */
+        Duration advice(Duration wait) {
+            return min(longestAdvice, max(ADVICE, wait).multipliedBy(50 + chance.nextInt(100)).dividedBy(100));
+        }
+
+        void shut(Server server) {
+            openness = 0;
+            say(server);
+        }
+
+        /** Opens slowly while little waits, closes quickly while much does. */
+        void tell(Server server, Duration wait, Duration objective) {
+            if (advert == Advert.NONE || server.now().compareTo(nextTell) < 0) {
+                return;
+            }
+            nextTell = server.now().plus(TELL);
+            boolean long_ = seconds(wait) > seconds(objective) * LONG_WAIT;
+            openness = Math.max(SHUT, Math.min(1, openness * (long_ ? CLOSE : OPEN)));
+            say(server);
+        }
+
+        private void say(Server server) {
+            switch (advert) {
+                case LEVEL -> server.advertise(1 - openness);
+                case SHARE -> server.advertise(openness);
+                case WINDOW -> server.advertise(openness * WINDOW * cores / Math.max(1, callers));
+                default -> { }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/model/InvId.java
@@ -0,0 +1,5 @@
+package ochretiller.model;
+
+/** An invocation, by the number it was read under. */
+public record InvId(long value) {
+}
--- /dev/null
+++ b/src/main/java/ochretiller/model/package-info.java
@@ -0,0 +1,2 @@
+/** Plain values that the decisions are made on. */
+package ochretiller.model;
