--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -27,10 +27,10 @@
 /**
  * All decisions of one server: what it runs, holds, replays, turns away, and what it tells its callers.
  *
- * <p>How it is called: its owner builds the parts, each with its own few settings, and tells what happens by the entry
- * methods {@link #started}, {@link #arrived}, {@link #blocked}, {@link #gone} and {@link #leave}. Each returns a
- * {@link Step} to be acted out on the {@link Server}, the interface, in {@code ochretiller.server}; results of runs,
- * calls and timers go to the continuations left there. Instances share nothing. docs/design.md tells why.
+ * <p>How it is called: its owner builds the parts, each with its own few settings, and tells what happens by
+ * {@link #started}, {@link #arrived}, {@link #blocked}, {@link #gone} and {@link #leave}. Each returns a
+ * {@link Step} to be acted out on the {@link Server}, the interface, in {@code ochretiller.server}; results of
+ * runs, calls and timers go to the continuations left there. docs/design.md tells why.
  */
 public final class Choice {
     /** Beat of all that is checked over and over; a small part of the shortest objective, cheap in time spent. */
@@ -91,13 +91,9 @@
         Duration offCores = Duration.ZERO;
         Duration parkedAt = Duration.ZERO;
 
-        Work(Invocation inv) {
-            this.inv = inv;
-        }
+        Work(Invocation inv) { this.inv = inv; }
 
-        Operation operation() {
-            return inv.operation();
-        }
+        Operation operation() { return inv.operation(); }
 
         /** When its run must have ended to earn the whole billed value. */
         Duration goal() {
@@ -207,14 +203,10 @@
     private void fill(Server server) {
         Duration now = server.now();
         int room = limit.now(now) - (int) works.values().stream().filter(w -> w.state == State.RUNNING).count();
-        if (room <= 0 || hold.size() == 0) {
-            return;
-        }
+        if (room <= 0 || hold.size() == 0) return;
         boolean parkedFull = calls.parked() >= PARKED * limit.cores;
         for (Work work : hold.ordered(now)) {
-            if (room == 0 || !memory.roomToRun(work.inv.kb(), tokens.kb(now))) {
-                return;
-            }
+            if (room == 0 || !memory.roomToRun(work.inv.kb(), tokens.kb(now))) return;
             if (!(parkedFull && work.operation().calls())) {
                 hold.remove(work);
                 run(server, work);
@@ -241,9 +233,7 @@
     private Step ended(Work work, RunEnd end) {
         return server -> {
             Duration now = server.now();
-            if (work.state == State.CALLING) {
-                calls.left(now);
-            }
+            if (work.state == State.CALLING) calls.left(now);
             calls.unpark(work);
             forget(work);
             if (end.result() == RunEnd.Result.SUCCEEDED || end.result() == RunEnd.Result.ERRORED) {
@@ -310,9 +300,7 @@
             work.state = State.PARKED;
             if (!work.answered && end.result().neverRan()) {
                 server.after(BEAT, gauges -> again -> {
-                    if (work.state == State.PARKED && !work.answered) {
-                        park(again, work);
-                    }
+                    if (work.state == State.PARKED && !work.answered) park(again, work);
                 });
             } else if (!work.answered) {
                 if (work.operation().degradedShare() > 0) {
@@ -330,9 +318,7 @@
     public Step gone(InvId id) {
         return server -> {
             Work work = works.get(id);
-            if (work == null) {
-                return;
-            }
+            if (work == null) return;
             work.answered = true;
             switch (work.state) {
                 case HELD -> {
@@ -354,9 +340,7 @@
 
     /** Stops work that nobody waits for; a tokened run goes on, since its repeat can be answered from it. */
     private void stopUnwanted(Server server, Work work) {
-        if (limit.canStop && work.operation().idempotent()) {
-            server.stop(work.inv.id());
-        }
+        if (limit.canStop && work.operation().idempotent()) server.stop(work.inv.id());
     }
 
     /** Notice to leave: the process is killed at {@code kill}. */
@@ -372,9 +356,7 @@
         return server -> {
             Duration now = server.now();
             limit.observe(now, gauges, hold.size());
-            for (Work work : new ArrayList<>(works.values())) {
-                overdue(server, work, now);
-            }
+            for (Work work : new ArrayList<>(works.values())) overdue(server, work, now);
             squeeze(server);
             pump(server);
             fill(server);
@@ -387,9 +369,7 @@
 
     /** Answers in time, whatever still runs: the due time, and the kill of a process that leaves. */
     private void overdue(Server server, Work work, Duration now) {
-        if (work.answered || !works.containsKey(work.inv.id())) {
-            return;
-        }
+        if (work.answered || !works.containsKey(work.inv.id())) return;
         boolean due = now.compareTo(min(work.inv.due(), drain.kill()).minus(LEAD)) >= 0;
         boolean lost = work.ran && work.operation().idempotent() && work.operation().lateShare() == 0
             && limit.canStop && hold.size() > 0 && now.compareTo(work.goal()) > 0;
@@ -406,9 +386,7 @@
             }
         } else if (due && work.state != State.HELD) {
             fail(server, work);
-            if (work.state == State.RUNNING) {
-                stopUnwanted(server, work);
-            }
+            if (work.state == State.RUNNING) stopUnwanted(server, work);
         } else if (lost && work.state == State.RUNNING) {
             // Past its objective it earns nothing any more, and others wait for its core.
             work.answered = true;
@@ -431,20 +409,14 @@
     private void fail(Server server, Work work) {
         server.fail(work.inv.id());
         work.answered = true;
-        if (work.state == State.PARKED) {
-            calls.unpark(work);
-        }
-        if (!work.ran) {
-            forget(work);
-        }
+        if (work.state == State.PARKED) calls.unpark(work);
+        if (!work.ran) forget(work);
     }
 
     /** What never ran leaves no mark; a repeat that waited for it takes its place. */
     private void dropped(Server server, Work work) {
         Token token = tokens.find(work.inv.id());
-        if (token == null || token.state != Token.State.UNRUN) {
-            return;
-        }
+        if (token == null || token.state != Token.State.UNRUN) return;
         List<Work> waiting = token.release();
         token.state = Token.State.DROPPED;
         tokens.close(token);
@@ -461,26 +433,18 @@
 
     /** It is over, and its memory is back. */
     private void forget(Work work) {
-        if (works.remove(work.inv.id()) != null) {
-            memory.release(work.inv.kb(), work.ran);
-        }
+        if (works.remove(work.inv.id()) != null) memory.release(work.inv.kb(), work.ran);
     }
 
     private Collection<Work> running() {
         return works.values().stream().filter(w -> w.state == State.RUNNING).toList();
     }
 
-    private static Duration min(Duration a, Duration b) {
-        return a.compareTo(b) < 0 ? a : b;
-    }
+    private static Duration min(Duration a, Duration b) { return a.compareTo(b) < 0 ? a : b; }
 
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) > 0 ? a : b;
-    }
+    private static Duration max(Duration a, Duration b) { return a.compareTo(b) > 0 ? a : b; }
 
-    private static double seconds(Duration span) {
-        return span.toNanos() / 1e9;
-    }
+    private static double seconds(Duration span) { return span.toNanos() / 1e9; }
 
     private static Duration span(double seconds) {
         return Duration.ofNanos((long) (Math.min(seconds, 1e6) * 1e9));
@@ -522,12 +486,13 @@
     static final class Token {
         enum State { UNRUN, RUNNING, SUCCEEDED, LOST, DROPPED }
 
+        final InvId id;
         final Duration expires;
         State state = State.UNRUN;
         List<Work> waiting = new ArrayList<>();
-        boolean closed;
 
-        Token(Duration expires) {
+        Token(InvId id, Duration expires) {
+            this.id = id;
             this.expires = expires;
         }
 
@@ -544,59 +509,48 @@
         private final double shareKb;
         private final Map<InvId, Token> entries = new HashMap<>();
         private final PriorityQueue<Token> live = new PriorityQueue<>(Comparator.comparing(t -> t.expires));
-        private final ArrayDeque<InvId> order = new ArrayDeque<>();
+        private final ArrayDeque<Token> order = new ArrayDeque<>();
 
         public TokenTable(double entryKb, double memoryKb) {
             this.entryKb = entryKb;
             this.shareKb = memoryKb * TOKENS;
         }
 
-        Token find(InvId id) {
-            return entries.get(id);
-        }
+        Token find(InvId id) { return entries.get(id); }
 
         double kb(Duration now) {
-            while (!live.isEmpty() && live.peek().expires.compareTo(now) <= 0) {
-                live.poll();
-            }
+            while (!live.isEmpty() && live.peek().expires.compareTo(now) <= 0) live.poll();
             return live.size() * entryKb;
         }
 
         /** A full share turns newcomers away before they run; live entries stay. */
-        boolean room(Duration now) {
-            return kb(now) + entryKb <= shareKb;
-        }
+        boolean room(Duration now) { return kb(now) + entryKb <= shareKb; }
 
         Token open(Invocation inv, Duration now) {
-            Token token = new Token(inv.arrived().plus(inv.operation().window()));
+            Token token = new Token(inv.id(), inv.arrived().plus(inv.operation().window()));
             entries.put(inv.id(), token);
             live.add(token);
-            order.add(inv.id());
+            order.add(token);
             // A repeat may be read long after it came: an entry is known for one more client timeout.
-            while (now.compareTo(entries.get(order.peek()).expires.plus(inv.operation().clientTimeout())) > 0) {
-                entries.remove(order.poll());
+            while (now.compareTo(order.peek().expires.plus(inv.operation().clientTimeout())) > 0) {
+                Token old = order.poll();
+                entries.remove(old.id, old); // a dropped try that came in again has a later entry
             }
             return token;
         }
 
         Token mark(InvId id, Token.State state) {
             Token token = entries.get(id);
-            if (token != null) {
-                token.state = state;
-            }
+            if (token != null) token.state = state;
             return token;
         }
 
         void leave(Work work) {
             Token token = entries.get(work.inv.forerunner());
-            if (token != null) {
-                token.waiting.remove(work);
-            }
+            if (token != null) token.waiting.remove(work);
         }
 
-        void close(Token token) {
-            live.remove(token);
-        }
+        void close(Token token) { live.remove(token); }
     }
 
     /** How many run at once: climbed on throughput, never under the cores, and under the crowd that kills. */
@@ -628,14 +582,10 @@
             return (int) Math.max(cores, Math.min(limit, cores * (1 + (fallMultiple - 1) * speed) * CROWD));
         }
 
-        void ended(Duration now) {
-            ends++;
-        }
+        void ended(Duration now) { ends++; }
 
         void observe(Duration now, Gauges gauges, int held) {
-            if (now.compareTo(windowEnd) < 0) {
-                return;
-            }
+            if (now.compareTo(windowEnd) < 0) return;
             if (held > 0 && gauges.coreUse() < ROOM) {
                 limit = Math.min(limit + step, cores * fallMultiple);
                 step *= 2;
@@ -676,28 +626,18 @@
         /** Share of the billed value that counts: what a tenant sends beyond its quota is worth little. */
         double worth(Invocation inv, Duration now) {
             Ring ring = sent.get(inv.tenant());
-            if (ring == null) {
-                return 1;
-            }
+            if (ring == null) return 1;
             double span = Math.min(seconds(now), seconds(BUCKET) * BUCKETS);
-            if (span > 1 && ring.count(now) / span > quotas.get(inv.tenant())) {
-                return overShareWorth;
-            }
+            if (span > 1 && ring.count(now) / span > quotas.get(inv.tenant())) return overShareWorth;
             ring.add(now, 1);
             return 1;
         }
 
-        int size() {
-            return held.size();
-        }
+        int size() { return held.size(); }
 
-        void add(Work work) {
-            held.add(work);
-        }
+        void add(Work work) { held.add(work); }
 
-        void remove(Work work) {
-            held.remove(work);
-        }
+        void remove(Work work) { held.remove(work); }
 
         /** A run took so long on the cores. */
         void measured(Invocation inv, Duration took, Duration now) {
@@ -745,9 +685,7 @@
         /** Time until what comes last would start. */
         Duration wait(Duration now, int limit, Collection<Work> running) {
             double ahead = running.size() < limit ? 0 : runsLeft(now, running);
-            for (Work work : held) {
-                ahead += expected(work.inv, now);
-            }
+            for (Work work : held) ahead += expected(work.inv, now);
             return span(ahead / limit);
         }
 
@@ -782,9 +720,7 @@
             }
             Work loser = null;
             for (Work work : ordered) {
-                if (loser == null || counts.get(group(work)) >= counts.get(group(loser))) {
-                    loser = work;
-                }
+                if (loser == null || counts.get(group(work)) >= counts.get(group(loser))) loser = work;
             }
             return loser;
         }
@@ -812,35 +748,23 @@
             this.linger = linger;
         }
 
-        int parked() {
-            return parked.size();
-        }
+        int parked() { return parked.size(); }
 
-        void park(Work work) {
-            parked.add(work);
-        }
+        void park(Work work) { parked.add(work); }
 
-        void unpark(Work work) {
-            parked.remove(work);
-        }
+        void unpark(Work work) { parked.remove(work); }
 
         /** The next to make its call, or null; a call given up stays in the hands of what lies below a while. */
         Work next(Duration now) {
-            while (!lingering.isEmpty() && lingering.peek().compareTo(now) <= 0) {
-                lingering.poll();
-            }
-            if (parked.isEmpty() || inHand + lingering.size() + 1 > bound) {
-                return null;
-            }
+            while (!lingering.isEmpty() && lingering.peek().compareTo(now) <= 0) lingering.poll();
+            if (parked.isEmpty() || inHand + lingering.size() + 1 > bound) return null;
             inHand++;
             return parked.poll();
         }
 
         void ended(Duration now, CallEnd end) {
             inHand--;
-            if (end.result() == CallEnd.Result.TIMED_OUT) {
-                lingering.add(now.plus(linger));
-            }
+            if (end.result() == CallEnd.Result.TIMED_OUT) lingering.add(now.plus(linger));
         }
 
         /** Its invocation ended while the call was out. */
@@ -861,25 +785,15 @@
             this.runFactor = runFactor;
         }
 
-        void take(double kb) {
-            usedKb += kb;
-        }
+        void take(double kb) { usedKb += kb; }
 
-        void run(double kb) {
-            usedKb += kb * (runFactor - 1);
-        }
+        void run(double kb) { usedKb += kb * (runFactor - 1); }
 
-        void release(double kb, boolean ran) {
-            usedKb -= ran ? kb * runFactor : kb;
-        }
+        void release(double kb, boolean ran) { usedKb -= ran ? kb * runFactor : kb; }
 
-        boolean room(double moreKb, double tokensKb) {
-            return usedKb + tokensKb + moreKb <= limitKb;
-        }
+        boolean room(double moreKb, double tokensKb) { return usedKb + tokensKb + moreKb <= limitKb; }
 
-        boolean roomToRun(double kb, double tokensKb) {
-            return room(kb * (runFactor - 1), tokensKb);
-        }
+        boolean roomToRun(double kb, double tokensKb) { return room(kb * (runFactor - 1), tokensKb); }
     }
 
     /** Leaving: what came after the grace is not run, and all is answered before the kill. */
@@ -889,22 +803,16 @@
         private Duration lastRun = NEVER;
         private Duration kill = NEVER;
 
-        public Drain(Duration grace) {
-            this.grace = grace;
-        }
+        public Drain(Duration grace) { this.grace = grace; }
 
         void notice(Duration now, Duration killAt) {
             lastRun = now.plus(grace).minus(BEAT);
             kill = killAt;
         }
 
-        boolean noticed() {
-            return kill != NEVER;
-        }
+        boolean noticed() { return kill != NEVER; }
 
-        Duration kill() {
-            return kill;
-        }
+        Duration kill() { return kill; }
 
         boolean forbids(Invocation inv, Duration now) {
             return inv.arrived().compareTo(lastRun) > 0 || now.compareTo(kill.minus(LEAD)) >= 0;
@@ -931,17 +839,11 @@
             this.chance = chance;
         }
 
-        void read(Duration now) {
-            reads.add(now, 1);
-        }
+        void read(Duration now) { reads.add(now, 1); }
 
-        void throttled(Duration now) {
-            throttles.add(now, 1);
-        }
+        void throttled(Duration now) { throttles.add(now, 1); }
 
-        boolean crowded(Duration now) {
-            return throttles.count(now) > CROWDED * reads.count(now);
-        }
+        boolean crowded(Duration now) { return throttles.count(now) > CROWDED * reads.count(now); }
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
@@ -955,9 +857,7 @@
 
         /** Opens slowly while little waits, closes quickly while much does. */
         void tell(Server server, Duration wait, Duration objective) {
-            if (advert == Advert.NONE || server.now().compareTo(nextTell) < 0) {
-                return;
-            }
+            if (advert == Advert.NONE || server.now().compareTo(nextTell) < 0) return;
             nextTell = server.now().plus(TELL);
             boolean long_ = seconds(wait) > seconds(objective) * LONG_WAIT;
             openness = Math.max(SHUT, Math.min(1, openness * (long_ ? CLOSE : OPEN)));
