Throttle with advice when time unread shows a reading jam

Cause: unread invocations wait behind one another while reading starves the runs; what is read late is lost and tried again.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -75,6 +75,8 @@
     private static final double WINDOW = 6;
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.2;
+    /** Time unread over which reading is jammed; several times what reading takes on a calm server. */
+    private static final Duration JAM = Duration.ofMillis(400);
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
     private static final double QUOTA_SLACK = 1.3;
 
@@ -135,7 +137,7 @@
             Work work = new Work(inv);
             works.put(inv.id(), work);
             memory.take(inv.kb());
-            signals.read(server.now());
+            signals.read(server.now(), server.now().minus(inv.arrived()));
             work.worth = hold.worth(inv, server.now());
             Token token = inv.forerunner() == null ? null : tokens.find(inv.forerunner());
             if (!inv.operation().tokened() || token != null && token.state == Token.State.DROPPED) {
@@ -165,10 +167,15 @@
 
     private void admit(Server server, Work work) {
         Duration now = server.now();
-        if (drain.forbids(work.inv, now)) {
+        if (signals.jammed(now) && work.operation().idempotent()) {
             throttle(server, work, false);
             return;
         }
+        // What was read too late to earn anything takes no entry, and may be older than its own window.
+        if (drain.forbids(work.inv, now) || now.compareTo(work.goal()) > 0) {
+            throttle(server, work, now.compareTo(work.goal()) > 0);
+            return;
+        }
         if (work.operation().tokened()) {
             // Guards against running twice: an unkept one's repeat is unmarked, so it is marked before it waits.
             if (!tokens.room(now) || !memory.room(tokens.entryKb, tokens.kb(now))) {
@@ -829,6 +836,7 @@
         private final Ring reads = new Ring();
         private final Ring throttles = new Ring();
         private double openness = 1;
+        private Duration delay = Duration.ZERO;
         private Duration nextTell = Duration.ZERO;
 
         public Signals(Advert advert, int callers, int cores, Duration longestAdvice, SplittableRandom chance) {
@@ -839,7 +847,16 @@
             this.chance = chance;
         }
 
-        void read(Duration now) { reads.add(now, 1); }
+        void read(Duration now, Duration age) {
+            reads.add(now, 1);
+            delay = age;
+        }
+
+        /**
+         * Guards against a jam of unread invocations, whatever its cause: reading starves the runs, and what is read
+         * late is lost. One throttle with advice keeps its caller away; it does harm where few heed advice.
+         */
+        boolean jammed(Duration now) { return delay.compareTo(JAM) > 0; }
 
         void throttled(Duration now) { throttles.add(now, 1); }
 
@@ -847,7 +864,7 @@
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
-            return min(longestAdvice, max(ADVICE, wait).multipliedBy(50 + chance.nextInt(100)).dividedBy(100));
+            return min(longestAdvice, max(ADVICE, wait.plus(delay)).multipliedBy(50 + chance.nextInt(100)).dividedBy(100));
         }
 
         void shut(Server server) {
@@ -859,7 +876,7 @@
         void tell(Server server, Duration wait, Duration objective) {
             if (advert == Advert.NONE || server.now().compareTo(nextTell) < 0) return;
             nextTell = server.now().plus(TELL);
-            boolean long_ = seconds(wait) > seconds(objective) * LONG_WAIT;
+            boolean long_ = seconds(wait.plus(delay)) > seconds(objective) * LONG_WAIT;
             openness = Math.max(SHUT, Math.min(1, openness * (long_ ? CLOSE : OPEN)));
             say(server);
         }
