--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -63,7 +63,7 @@
     /** A held invocation is given up when even this multiple of its expected run no longer fits. */
     private static final double FIT = 2.0;
     /** Throttled share of what was read over which other servers are taken to be no better off. */
-    private static final double CROWDED = 0.5;
+    private static final double CROWDED = 0.9;
     /** Shortest advice to stay away: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
     /** Steps of the openness told to callers by beat of the signals, up by this, down by that factor. */
