--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -61,9 +61,9 @@
     /** Expected work before anything was measured, as a share of the latency objective. */
     private static final double UNKNOWN_WORK = 0.2;
     /** A held invocation is given up when even this multiple of its expected run no longer fits. */
-    private static final double FIT = 2.0;
+    private static final double FIT = 1.0;
     /** Throttled share of what was read over which other servers are taken to be no better off. */
-    private static final double CROWDED = 0.9;
+    private static final double CROWDED = 0.2;
     /** Shortest advice to stay away: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
     /** Steps of the openness told to callers by beat of the signals, up by this, down by that factor. */
