--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -60,10 +60,10 @@
     private static final int PARKED = 2;
     /** Expected work before anything was measured, as a share of the latency objective. */
     private static final double UNKNOWN_WORK = 0.2;
-    /** A held invocation is given up when even this multiple of its expected run no longer fits. */
-    private static final double FIT = 1.0;
+    /** Room that one that has to wait needs before its goal: so many spreads of run time over the expected. */
+    private static final double SPREADS = 1.1;
     /** Throttled share of what was read over which other servers are taken to be no better off. */
-    private static final double CROWDED = 0.2;
+    private static final double CROWDED = 0.3;
     /** Shortest advice to stay away: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
     /** Steps of the openness told to callers by beat of the signals, up by this, down by that factor. */
@@ -619,6 +619,7 @@
         private final Map<Operation, Ring> taken = new HashMap<>();
         private final Ring overHint = new Ring();
         private final Ring hints = new Ring();
+        private final Ring spreads = new Ring();
 
         public Hold(List<Tenant> tenants, int peers, double overShareWorth, boolean byWork) {
             this.overShareWorth = overShareWorth;
@@ -648,6 +649,8 @@
 
         /** A run took so long on the cores. */
         void measured(Invocation inv, Duration took, Duration now) {
+            double off = seconds(took) / Math.max(1e-6, expected(inv, now)) - 1;
+            spreads.add(now, Math.min(off * off, 9));
             taken.computeIfAbsent(inv.operation(), o -> new Ring()).add(now, seconds(took));
             if (inv.hint() != null) {
                 overHint.add(now, seconds(took));
@@ -702,10 +705,13 @@
             List<Work> ordered = ordered(now);
             double first = running.size() < limit ? 0 : runsLeft(now, running);
             double ahead = first;
+            // What fits by its mean alone misses half the time; good hints leave little spread. A free place is
+            // taken all the same, since nothing else would use it.
+            double fit = 1 + SPREADS * Math.sqrt(spreads.sum(now) / Math.max(1, spreads.count(now)));
             for (int i = 0; i < ordered.size(); i++) {
                 Work work = ordered.get(i);
                 double expected = expected(work.inv, now);
-                if (now.plus(span(ahead / limit + expected * FIT)).compareTo(work.goal()) > 0) {
+                if (now.plus(span(ahead / limit + expected * (ahead == 0 ? 1 : fit))).compareTo(work.goal()) > 0) {
                     Work loser = ahead == first ? work : loser(ordered.subList(0, i + 1));
                     ordered.remove(loser);
                     held.remove(loser);
