--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -1,26 +1,8 @@
 package ochretiller;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.SplittableRandom;
-import ochretiller.model.Advert;
-import ochretiller.model.CallEnd;
-import ochretiller.model.Gauges;
-import ochretiller.model.InvId;
-import ochretiller.model.Invocation;
-import ochretiller.model.Operation;
-import ochretiller.model.RunEnd;
-import ochretiller.model.Tenant;
-import ochretiller.model.TenantId;
+import java.util.*;
+import ochretiller.model.*;
 import ochretiller.server.Server;
 import ochretiller.server.Step;
 
@@ -29,11 +11,11 @@
  *
  * <p>How it is called: its owner builds the parts, each with its own few settings, and tells what happens by
  * {@link #started}, {@link #arrived}, {@link #blocked}, {@link #gone} and {@link #leave}. Each returns a
- * {@link Step} to be acted out on the {@link Server}, the interface, in {@code ochretiller.server}; results of
+ * {@link Step} to be acted out on the interface, {@link Server} in {@code ochretiller.server}; results of
  * runs, calls and timers go to the continuations left there. docs/design.md tells why.
  */
 public final class Choice {
-    /** Beat of all that is checked over and over; a small part of the shortest objective, cheap in time spent. */
+    /** Beat of all that is checked over and over; a small part of a short objective, and cheap. */
     private static final Duration BEAT = Duration.ofMillis(20);
     /** Lead of a last answer on its due time: some beats, and batches that come late. */
     private static final Duration LEAD = Duration.ofMillis(80);
@@ -51,7 +33,7 @@
     private static final double FELL = 0.15;
     /** Share of the crowd that a server survives which the run limit may reach: resumed calls come on top. */
     private static final double CROWD = 0.6;
-    /** Share of the memory that is used, and that all tokens may take: a read invocation may come at any time. */
+    /** Share of the memory that is used, since more may be read at any time, and that tokens may take. */
     private static final double MEMORY = 0.9;
     private static final double TOKENS = 0.4;
     /** Share of the calls below that this server's slice allows; a slice is what breaks what lies below. */
@@ -60,16 +42,15 @@
     private static final int PARKED = 2;
     /** Expected work before anything was measured, as a share of the latency objective. */
     private static final double UNKNOWN_WORK = 0.2;
-    /** Room that one that has to wait needs before its goal: so many spreads of run time over the expected. */
+    /** Room that one who waits needs before its goal: the expected run and so many of its spreads. */
     private static final double SPREADS = 1.1;
     /** Throttled share of what was read over which other servers are taken to be no better off. */
     private static final double CROWDED = 0.3;
     /** Shortest advice to stay away: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
-    /** Steps of the openness told to callers by beat of the signals, up by this, down by that factor. */
-    private static final Duration TELL = Duration.ofMillis(100);
-    private static final double OPEN = 1.04;
-    private static final double CLOSE = 0.9;
+    /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
+    private static final double OPEN = 1.008;
+    private static final double CLOSE = 0.98;
     private static final double SHUT = 0.02;
     /** Window, by core, that all callers together get at full openness. */
     private static final double WINDOW = 6;
@@ -80,29 +61,6 @@
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
     private static final double QUOTA_SLACK = 1.3;
 
-    private enum State { HELD, WAITING, REPLAYING, RUNNING, PARKED, CALLING }
-
-    /** One invocation that was read and is not over. */
-    static final class Work {
-        final Invocation inv;
-        double worth = 1;
-        State state = State.HELD;
-        boolean ran;
-        boolean answered;
-        Duration startedAt = Duration.ZERO;
-        Duration offCores = Duration.ZERO;
-        Duration parkedAt = Duration.ZERO;
-
-        Work(Invocation inv) { this.inv = inv; }
-
-        Operation operation() { return inv.operation(); }
-
-        /** When its run must have ended to earn the whole billed value. */
-        Duration goal() {
-            return min(inv.arrived().plus(operation().objective()), inv.due()).minus(WAY_BACK);
-        }
-    }
-
     private final TokenTable tokens;
     private final RunLimit limit;
     private final Hold hold;
@@ -139,10 +97,9 @@
             memory.take(inv.kb());
             signals.read(server.now(), server.now().minus(inv.arrived()));
             work.worth = hold.worth(inv, server.now());
-            Token token = inv.forerunner() == null ? null : tokens.find(inv.forerunner());
-            if (!inv.operation().tokened() || token != null && token.state == Token.State.DROPPED) {
-                admit(server, work);
-            } else if (inv.forerunner() != null) {
+            Token token = inv.forerunner() == null ? null : tokens.entries.get(inv.forerunner());
+            boolean repeats = inv.operation().tokened() && inv.forerunner() != null;
+            if (repeats && (token == null || token.state != Token.State.DROPPED)) {
                 repeat(server, work, token);
             } else {
                 admit(server, work);
@@ -155,53 +112,49 @@
     /** A repeat of a kept try: it replays the answer, or waits for the mark to clear, and never runs. */
     private void repeat(Server server, Work work, Token token) {
         if (token == null || token.state == Token.State.SUCCEEDED) {
-            replay(server, work); // an unknown forerunner may have run: its answer, or an error, is all there is
+            replay(server, work); // an unknown forerunner may have run: there is its answer, or an error
         } else if (token.state == Token.State.LOST) {
             // Guards against a second effect: a run that failed or was stopped may have done its work.
             fail(server, work);
         } else {
-            work.state = State.WAITING;
+            work.state = Work.State.WAITING;
             token.waiting.add(work);
         }
     }
 
     private void admit(Server server, Work work) {
         Duration now = server.now();
-        if (signals.jammed(now) && work.operation().idempotent()) {
-            throttle(server, work, false);
-            return;
-        }
         // What was read too late to earn anything takes no entry, and may be older than its own window.
-        if (drain.forbids(work.inv, now) || now.compareTo(work.goal()) > 0) {
-            throttle(server, work, now.compareTo(work.goal()) > 0);
+        boolean late = now.compareTo(goal(work)) > 0;
+        boolean full = work.operation().tokened()
+            && !(tokens.room(now) && memory.room(tokens.entryKb, tokens.kb(now)));
+        boolean jammed = work.operation().idempotent() && signals.jammed();
+        if (late || full || jammed || drain.forbids(work.inv, now)) {
+            throttle(server, work, late);
             return;
         }
         if (work.operation().tokened()) {
-            // Guards against running twice: an unkept one's repeat is unmarked, so it is marked before it waits.
-            if (!tokens.room(now) || !memory.room(tokens.entryKb, tokens.kb(now))) {
-                throttle(server, work, false);
-                return;
-            }
+            // Guards against running twice: the repeat of one that is not kept bears no mark.
             tokens.open(work.inv, now);
             server.keep(work.inv.id(), work.inv.arrived().plus(work.operation().window()).minus(now));
         }
-        work.state = State.HELD;
-        hold.add(work);
+        work.state = Work.State.HELD;
+        hold.held.add(work);
         squeeze(server);
     }
 
     /** Gives up what cannot start in time any more; the places go by who has most in the hold. */
     private void squeeze(Server server) {
         for (Work late : hold.squeeze(server.now(), limit.now(server.now()), running())) {
-            throttle(server, late, server.now().compareTo(late.goal()) > 0);
+            throttle(server, late, server.now().compareTo(goal(late)) > 0);
         }
     }
 
     /** Guards against the death by memory: held work makes room, whoever has most first. */
     private void relieve(Server server) {
-        while (!memory.room(0, tokens.kb(server.now())) && hold.size() > 0) {
+        while (!memory.room(0, tokens.kb(server.now())) && hold.held.size() > 0) {
             Work loser = hold.loser(hold.ordered(server.now()));
-            hold.remove(loser);
+            hold.held.remove(loser);
             throttle(server, loser, false);
         }
     }
@@ -209,13 +162,13 @@
     /** Starts held invocations while the run limit, memory and the places at calls allow it. */
     private void fill(Server server) {
         Duration now = server.now();
-        int room = limit.now(now) - (int) works.values().stream().filter(w -> w.state == State.RUNNING).count();
-        if (room <= 0 || hold.size() == 0) return;
-        boolean parkedFull = calls.parked() >= PARKED * limit.cores;
+        int room = limit.now(now) - running().size();
+        if (room <= 0 || hold.held.size() == 0) return;
+        boolean parkedFull = calls.parked.size() >= PARKED * limit.cores;
         for (Work work : hold.ordered(now)) {
             if (room == 0 || !memory.roomToRun(work.inv.kb(), tokens.kb(now))) return;
             if (!(parkedFull && work.operation().calls())) {
-                hold.remove(work);
+                hold.held.remove(work);
                 run(server, work);
                 room--;
             }
@@ -223,7 +176,7 @@
     }
 
     private void run(Server server, Work work) {
-        work.state = State.RUNNING;
+        work.state = Work.State.RUNNING;
         work.ran = true;
         work.startedAt = server.now();
         memory.run(work.inv.kb());
@@ -232,7 +185,7 @@
     }
 
     private void replay(Server server, Work work) {
-        work.state = State.REPLAYING;
+        work.state = Work.State.REPLAYING;
         server.replay(work.inv.id(), end -> then -> forget(work));
     }
 
@@ -240,25 +193,17 @@
     private Step ended(Work work, RunEnd end) {
         return server -> {
             Duration now = server.now();
-            if (work.state == State.CALLING) calls.left(now);
-            calls.unpark(work);
+            if (work.state == Work.State.CALLING) calls.left(now);
+            calls.parked.remove(work);
             forget(work);
-            if (end.result() == RunEnd.Result.SUCCEEDED || end.result() == RunEnd.Result.ERRORED) {
-                limit.ended(now);
-            }
-            if (end.result() == RunEnd.Result.SUCCEEDED) {
+            boolean succeeded = end.result() == RunEnd.Result.SUCCEEDED;
+            if (succeeded) {
+                limit.ends++;
                 hold.measured(work.inv, end.took().minus(work.offCores), now);
             }
-            Token token = tokens.mark(work.inv.id(),
-                end.result() == RunEnd.Result.SUCCEEDED ? Token.State.SUCCEEDED : Token.State.LOST);
+            Token token = tokens.mark(work.inv.id(), succeeded ? Token.State.SUCCEEDED : Token.State.LOST);
             if (token != null) {
-                for (Work waiting : token.release()) {
-                    if (token.state == Token.State.SUCCEEDED) {
-                        replay(server, waiting);
-                    } else {
-                        fail(server, waiting);
-                    }
-                }
+                for (Work waiting : token.release()) repeat(server, waiting, token);
             }
             pump(server);
             fill(server);
@@ -269,26 +214,21 @@
     public Step blocked(InvId id) {
         return server -> {
             Work work = works.get(id);
-            if (work != null && !work.answered) {
-                work.parkedAt = server.now();
-                park(server, work);
-                fill(server);
-            }
+            if (work == null || work.answered) return;
+            if (work.state == Work.State.RUNNING) work.parkedAt = server.now();
+            work.state = Work.State.PARKED;
+            calls.parked.add(work);
+            pump(server);
+            fill(server);
         };
     }
 
-    private void park(Server server, Work work) {
-        work.state = State.PARKED;
-        calls.park(work);
-        pump(server);
-    }
-
     /** Makes the calls that the bound allows. */
     private void pump(Server server) {
         Duration now = server.now();
         for (Work work = calls.next(now); work != null; work = calls.next(now)) {
             Work caller = work;
-            caller.state = State.CALLING;
+            caller.state = Work.State.CALLING;
             Duration patience = caller.inv.due().minus(LEAD).minus(now);
             server.call(caller.inv.id(), max(patience, BEAT), end -> called(caller, end));
         }
@@ -299,23 +239,19 @@
             Duration now = server.now();
             calls.ended(now, end);
             if (end.result() == CallEnd.Result.SUCCEEDED) {
-                work.state = State.RUNNING;
+                work.state = Work.State.RUNNING;
                 work.offCores = work.offCores.plus(now.minus(work.parkedAt));
                 pump(server);
                 return;
             }
-            work.state = State.PARKED;
+            work.state = Work.State.PARKED;
             if (!work.answered && end.result().neverRan()) {
-                server.after(BEAT, gauges -> again -> {
-                    if (work.state == State.PARKED && !work.answered) park(again, work);
-                });
+                server.after(BEAT, gauges -> blocked(work.inv.id()));
+            } else if (!work.answered && work.operation().degradedShare() > 0) {
+                work.state = Work.State.RUNNING;
+                server.skipCall(work.inv.id());
             } else if (!work.answered) {
-                if (work.operation().degradedShare() > 0) {
-                    work.state = State.RUNNING;
-                    server.skipCall(work.inv.id());
-                } else {
-                    fail(server, work); // a call that may have run is never made again
-                }
+                fail(server, work); // a call that may have run is never made again
             }
             pump(server);
         };
@@ -328,18 +264,14 @@
             if (work == null) return;
             work.answered = true;
             switch (work.state) {
-                case HELD -> {
-                    hold.remove(work);
-                    dropped(server, work);
-                    forget(work);
-                }
-                case WAITING, REPLAYING -> {
+                case RUNNING -> stopUnwanted(server, work);
+                case PARKED, CALLING -> calls.parked.remove(work); // the end of its run follows
+                default -> {
+                    hold.held.remove(work);
                     tokens.leave(work);
+                    dropped(server, work);
                     forget(work);
                 }
-                case RUNNING -> stopUnwanted(server, work);
-                case PARKED -> calls.unpark(work);
-                default -> { } // at a call: the end of its run follows
             }
             fill(server);
         };
@@ -355,21 +287,20 @@
         return server -> {
             drain.notice(server.now(), kill);
             server.health(false, true);
-            signals.shut(server);
+            signals.openness = 0;
+            signals.say(server);
         };
     }
 
     private Step beat(Gauges gauges) {
         return server -> {
             Duration now = server.now();
-            limit.observe(now, gauges, hold.size());
+            limit.observe(now, gauges, hold.held.size());
             for (Work work : new ArrayList<>(works.values())) overdue(server, work, now);
             squeeze(server);
             pump(server);
             fill(server);
-            if (!drain.noticed()) {
-                signals.tell(server, hold.wait(now, limit.now(now), running()), hold.shortest());
-            }
+            if (!drain.noticed()) signals.tell(server, wait(now), hold.shortest());
             server.after(BEAT, this::beat);
         };
     }
@@ -377,27 +308,25 @@
     /** Answers in time, whatever still runs: the due time, and the kill of a process that leaves. */
     private void overdue(Server server, Work work, Duration now) {
         if (work.answered || !works.containsKey(work.inv.id())) return;
-        boolean due = now.compareTo(min(work.inv.due(), drain.kill()).minus(LEAD)) >= 0;
+        boolean due = now.compareTo(min(work.inv.due(), drain.kill).minus(LEAD)) >= 0;
         boolean lost = work.ran && work.operation().idempotent() && work.operation().lateShare() == 0
-            && limit.canStop && hold.size() > 0 && now.compareTo(work.goal()) > 0;
-        if (work.state == State.HELD && (due || drain.forbids(work.inv, now))) {
-            hold.remove(work);
+            && limit.canStop && hold.held.size() > 0 && now.compareTo(goal(work)) > 0;
+        Token mark = tokens.entries.get(work.inv.forerunner());
+        boolean held = work.state == Work.State.HELD
+            || work.state == Work.State.WAITING && mark != null && mark.state == Token.State.UNRUN;
+        if (held && (due || drain.forbids(work.inv, now))) {
+            hold.held.remove(work);
+            tokens.leave(work);
             throttle(server, work, false);
-        } else if (work.state == State.WAITING && due) {
+        } else if (due) {
+            // A repeat whose forerunner has started ends here too: to turn it away would be untrue.
             tokens.leave(work);
-            Token token = tokens.find(work.inv.forerunner());
-            if (token != null && token.state == Token.State.UNRUN) {
-                throttle(server, work, false);
-            } else {
-                fail(server, work); // its forerunner has started, so to turn it away would be untrue
-            }
-        } else if (due && work.state != State.HELD) {
             fail(server, work);
-            if (work.state == State.RUNNING) stopUnwanted(server, work);
-        } else if (lost && work.state == State.RUNNING) {
+            if (work.state == Work.State.RUNNING) stopUnwanted(server, work);
+        } else if (lost && work.state == Work.State.RUNNING) {
             // Past its objective it earns nothing any more, and others wait for its core.
             work.answered = true;
-            server.throttle(work.inv.id(), signals.advice(hold.wait(now, limit.now(now), running())), true);
+            server.throttle(work.inv.id(), signals.advice(wait(now)), true);
             stopUnwanted(server, work);
         }
     }
@@ -407,7 +336,7 @@
         Duration now = server.now();
         dropped(server, work);
         signals.throttled(now);
-        server.throttle(work.inv.id(), signals.advice(hold.wait(now, limit.now(now), running())),
+        server.throttle(work.inv.id(), signals.advice(wait(now)),
             !drain.noticed() && (last || signals.crowded(now)));
         work.answered = true;
         forget(work);
@@ -416,20 +345,20 @@
     private void fail(Server server, Work work) {
         server.fail(work.inv.id());
         work.answered = true;
-        if (work.state == State.PARKED) calls.unpark(work);
+        if (work.state == Work.State.PARKED) calls.parked.remove(work);
         if (!work.ran) forget(work);
     }
 
     /** What never ran leaves no mark; a repeat that waited for it takes its place. */
     private void dropped(Server server, Work work) {
-        Token token = tokens.find(work.inv.id());
+        Token token = tokens.entries.get(work.inv.id());
         if (token == null || token.state != Token.State.UNRUN) return;
         List<Work> waiting = token.release();
         token.state = Token.State.DROPPED;
-        tokens.close(token);
+        tokens.live.remove(token);
         server.erase(work.inv.id());
         for (Work next : waiting) {
-            Token first = tokens.find(waiting.get(0).inv.id());
+            Token first = tokens.entries.get(waiting.get(0).inv.id());
             if (first == null || first.state == Token.State.DROPPED) {
                 admit(server, next);
             } else {
@@ -443,8 +372,15 @@
         if (works.remove(work.inv.id()) != null) memory.release(work.inv.kb(), work.ran);
     }
 
-    private Collection<Work> running() {
-        return works.values().stream().filter(w -> w.state == State.RUNNING).toList();
+    private Duration wait(Duration now) { return hold.wait(now, limit.now(now), running()); }
+
+    private List<Work> running() {
+        return works.values().stream().filter(w -> w.state == Work.State.RUNNING).toList();
+    }
+
+    /** When a run must have ended to earn the whole billed value. */
+    private static Duration goal(Work work) {
+        return min(work.inv.arrived().plus(work.operation().objective()), work.inv.due()).minus(WAY_BACK);
     }
 
     private static Duration min(Duration a, Duration b) { return a.compareTo(b) < 0 ? a : b; }
@@ -457,38 +393,6 @@
         return Duration.ofNanos((long) (Math.min(seconds, 1e6) * 1e9));
     }
 
-    /** Sums over the last buckets of time, which are used again in a ring. */
-    static final class Ring {
-        private final double[] sums = new double[BUCKETS];
-        private final double[] counts = new double[BUCKETS];
-        private long head;
-
-        void add(Duration now, double x) {
-            turn(now);
-            sums[(int) (head % BUCKETS)] += x;
-            counts[(int) (head % BUCKETS)]++;
-        }
-
-        double sum(Duration now) {
-            turn(now);
-            return Arrays.stream(sums).sum();
-        }
-
-        double count(Duration now) {
-            turn(now);
-            return Arrays.stream(counts).sum();
-        }
-
-        private void turn(Duration now) {
-            long to = now.dividedBy(BUCKET);
-            for (long i = Math.max(head + 1, to - BUCKETS + 1); i <= to; i++) {
-                sums[(int) (i % BUCKETS)] = 0;
-                counts[(int) (i % BUCKETS)] = 0;
-            }
-            head = Math.max(head, to);
-        }
-    }
-
     /** The entry of one tokened try: the mark, and the repeats that wait for it. */
     static final class Token {
         enum State { UNRUN, RUNNING, SUCCEEDED, LOST, DROPPED }
@@ -523,8 +427,6 @@
             this.shareKb = memoryKb * TOKENS;
         }
 
-        Token find(InvId id) { return entries.get(id); }
-
         double kb(Duration now) {
             while (!live.isEmpty() && live.peek().expires.compareTo(now) <= 0) live.poll();
             return live.size() * entryKb;
@@ -533,7 +435,7 @@
         /** A full share turns newcomers away before they run; live entries stay. */
         boolean room(Duration now) { return kb(now) + entryKb <= shareKb; }
 
-        Token open(Invocation inv, Duration now) {
+        void open(Invocation inv, Duration now) {
             Token token = new Token(inv.id(), inv.arrived().plus(inv.operation().window()));
             entries.put(inv.id(), token);
             live.add(token);
@@ -543,7 +445,6 @@
                 Token old = order.poll();
                 entries.remove(old.id, old); // a dropped try that came in again has a later entry
             }
-            return token;
         }
 
         Token mark(InvId id, Token.State state) {
@@ -557,7 +458,6 @@
             if (token != null) token.waiting.remove(work);
         }
 
-        void close(Token token) { live.remove(token); }
     }
 
     /** How many run at once: climbed on throughput, never under the cores, and under the crowd that kills. */
@@ -569,8 +469,8 @@
         private final boolean canStop;
         private double limit;
         private double step = 1;
-        private double ends;
-        private double lastEnds;
+        private int ends;
+        private int lastEnds;
         private Duration windowEnd = CLIMB;
 
         public RunLimit(int cores, double fallMultiple, double coldShare, Duration coldFor, boolean canStop) {
@@ -589,19 +489,13 @@
             return (int) Math.max(cores, Math.min(limit, cores * (1 + (fallMultiple - 1) * speed) * CROWD));
         }
 
-        void ended(Duration now) { ends++; }
-
         void observe(Duration now, Gauges gauges, int held) {
             if (now.compareTo(windowEnd) < 0) return;
-            if (held > 0 && gauges.coreUse() < ROOM) {
-                limit = Math.min(limit + step, cores * fallMultiple);
-                step *= 2;
-            } else if (gauges.coreUse() > BUSY && ends < lastEnds * (1 - FELL)) {
-                step = 1;
-                limit = Math.max(cores, limit - step);
-            } else {
-                step = 1;
-            }
+            boolean climbs = held > 0 && gauges.coreUse() < ROOM;
+            boolean falls = gauges.coreUse() > BUSY && ends < lastEnds * (1 - FELL);
+            if (climbs) limit = Math.min(limit + step, cores * fallMultiple);
+            else if (falls) limit = Math.max(cores, limit - 1);
+            step = climbs ? step * 2 : 1;
             lastEnds = ends;
             ends = 0;
             windowEnd = now.plus(CLIMB);
@@ -610,62 +504,50 @@
 
     /** Held invocations: their order, what they are expected to cost, and who loses a place. */
     public static final class Hold {
-        private final Map<TenantId, Double> shares = new HashMap<>();
-        private final Map<TenantId, Double> quotas = new HashMap<>();
+        private final Map<TenantId, Tenant> tenants = new HashMap<>();
         private final Map<TenantId, Ring> sent = new HashMap<>();
+        private final int peers;
         private final double overShareWorth;
         private final boolean byWork;
         private final List<Work> held = new ArrayList<>();
         private final Map<Operation, Ring> taken = new HashMap<>();
-        private final Ring overHint = new Ring();
-        private final Ring hints = new Ring();
-        private final Ring spreads = new Ring();
+        private final Ring spreads = new Ring(BUCKET, BUCKETS);
 
         public Hold(List<Tenant> tenants, int peers, double overShareWorth, boolean byWork) {
             this.overShareWorth = overShareWorth;
             this.byWork = byWork;
-            for (Tenant tenant : tenants) {
-                shares.put(tenant.id(), tenant.share());
-                quotas.put(tenant.id(), tenant.quota() / Math.max(1, peers) * QUOTA_SLACK);
-                sent.put(tenant.id(), new Ring());
-            }
+            this.peers = peers;
+            for (Tenant tenant : tenants) this.tenants.put(tenant.id(), tenant);
         }
 
         /** Share of the billed value that counts: what a tenant sends beyond its quota is worth little. */
         double worth(Invocation inv, Duration now) {
-            Ring ring = sent.get(inv.tenant());
-            if (ring == null) return 1;
+            if (!tenants.containsKey(inv.tenant())) return 1;
+            Ring ring = sent.computeIfAbsent(inv.tenant(), t -> new Ring(BUCKET, BUCKETS));
             double span = Math.min(seconds(now), seconds(BUCKET) * BUCKETS);
-            if (span > 1 && ring.count(now) / span > quotas.get(inv.tenant())) return overShareWorth;
-            ring.add(now, 1);
+            double quota = tenants.get(inv.tenant()).quota() / Math.max(1, peers) * QUOTA_SLACK;
+            if (span > 1 && ring.sum(now) / span > quota) return overShareWorth;
+            ring.add(now, 1, 1);
             return 1;
         }
 
-        int size() { return held.size(); }
-
-        void add(Work work) { held.add(work); }
-
-        void remove(Work work) { held.remove(work); }
-
         /** A run took so long on the cores. */
         void measured(Invocation inv, Duration took, Duration now) {
             double off = seconds(took) / Math.max(1e-6, expected(inv, now)) - 1;
-            spreads.add(now, Math.min(off * off, 9));
-            taken.computeIfAbsent(inv.operation(), o -> new Ring()).add(now, seconds(took));
-            if (inv.hint() != null) {
-                overHint.add(now, seconds(took));
-                hints.add(now, seconds(inv.hint()));
-            }
+            spreads.add(now, Math.min(off * off, 9), 1);
+            Ring ring = taken.computeIfAbsent(inv.operation(), o -> new Ring(BUCKET, BUCKETS));
+            ring.add(now, seconds(took), guess(inv));
         }
 
-        /** Expected time on the cores, in seconds: the hint as it proved of late, else what the operation took. */
+        private static double guess(Invocation inv) {
+            if (inv.hint() != null) return seconds(inv.hint());
+            return seconds(inv.operation().objective()) * UNKNOWN_WORK;
+        }
+
+        /** Expected seconds on the cores: the hint, or a guess, times how such proved of late. */
         double expected(Invocation inv, Duration now) {
-            if (inv.hint() != null && hints.count(now) > 0) {
-                return seconds(inv.hint()) * overHint.sum(now) / Math.max(1e-9, hints.sum(now));
-            }
             Ring ring = taken.get(inv.operation());
-            return ring != null && ring.count(now) > 0 ? ring.sum(now) / ring.count(now)
-                : seconds(inv.operation().objective()) * UNKNOWN_WORK;
+            return ring == null ? guess(inv) : guess(inv) * ring.mean(now, 1);
         }
 
         /** Billed value over expected work, and the oldest first. */
@@ -676,13 +558,13 @@
                 rates.put(work, byWork ? value : value / Math.max(1e-6, expected(work.inv, now)));
             }
             List<Work> ordered = new ArrayList<>(held);
-            ordered.sort(Comparator.<Work>comparingDouble(w -> -rates.get(w)).thenComparing(w -> w.inv.arrived())
-                .thenComparing(w -> w.inv.id().value()));
+            ordered.sort(Comparator.<Work>comparingDouble(w -> -rates.get(w))
+                .thenComparing(w -> w.inv.arrived()).thenComparing(w -> w.inv.id().value()));
             return ordered;
         }
 
         /** Seconds of work left in the runs, halved: they end one after another. */
-        private double runsLeft(Duration now, Collection<Work> running) {
+        private double runsLeft(Duration now, List<Work> running) {
             double left = 0;
             for (Work work : running) {
                 double expected = expected(work.inv, now);
@@ -693,25 +575,26 @@
         }
 
         /** Time until what comes last would start. */
-        Duration wait(Duration now, int limit, Collection<Work> running) {
+        Duration wait(Duration now, int limit, List<Work> running) {
             double ahead = running.size() < limit ? 0 : runsLeft(now, running);
             for (Work work : held) ahead += expected(work.inv, now);
             return span(ahead / limit);
         }
 
         /** Takes out what has to go so that all that stays is expected to end within its objective. */
-        List<Work> squeeze(Duration now, int limit, Collection<Work> running) {
+        List<Work> squeeze(Duration now, int limit, List<Work> running) {
             List<Work> losers = new ArrayList<>();
             List<Work> ordered = ordered(now);
             double first = running.size() < limit ? 0 : runsLeft(now, running);
             double ahead = first;
-            // What fits by its mean alone misses half the time; good hints leave little spread. A free place is
-            // taken all the same, since nothing else would use it.
-            double fit = 1 + SPREADS * Math.sqrt(spreads.sum(now) / Math.max(1, spreads.count(now)));
+            // What fits by its mean alone misses half the time; good hints leave little spread. A free
+            // place is taken all the same, since nothing else would use it.
+            double fit = 1 + SPREADS * Math.sqrt(spreads.mean(now, 0));
             for (int i = 0; i < ordered.size(); i++) {
                 Work work = ordered.get(i);
                 double expected = expected(work.inv, now);
-                if (now.plus(span(ahead / limit + expected * (ahead == 0 ? 1 : fit))).compareTo(work.goal()) > 0) {
+                double needed = ahead / limit + expected * (ahead == 0 ? 1 : fit);
+                if (now.plus(span(needed)).compareTo(goal(work)) > 0) {
                     Work loser = ahead == first ? work : loser(ordered.subList(0, i + 1));
                     ordered.remove(loser);
                     held.remove(loser);
@@ -729,7 +612,8 @@
         Work loser(List<Work> ordered) {
             Map<Object, Double> counts = new HashMap<>();
             for (Work work : held) {
-                counts.merge(group(work), 1 / shares.getOrDefault(work.inv.tenant(), 1.0), Double::sum);
+                Tenant tenant = tenants.get(work.inv.tenant());
+                counts.merge(group(work), tenant == null ? 1 : 1 / tenant.share(), Double::sum);
             }
             Work loser = null;
             for (Work work : ordered) {
@@ -744,7 +628,7 @@
 
         Duration shortest() {
             return taken.keySet().stream().map(Operation::objective).min(Comparator.naturalOrder())
-                .orElse(Duration.ofSeconds(1));
+                .orElse(BUCKET);
         }
     }
 
@@ -761,13 +645,7 @@
             this.linger = linger;
         }
 
-        int parked() { return parked.size(); }
-
-        void park(Work work) { parked.add(work); }
-
-        void unpark(Work work) { parked.remove(work); }
-
-        /** The next to make its call, or null; a call given up stays in the hands of what lies below a while. */
+        /** The next to make its call, or null; a call given up lingers in the hands of what lies below. */
         Work next(Duration now) {
             while (!lingering.isEmpty() && lingering.peek().compareTo(now) <= 0) lingering.poll();
             if (parked.isEmpty() || inHand + lingering.size() + 1 > bound) return null;
@@ -825,8 +703,6 @@
 
         boolean noticed() { return kill != NEVER; }
 
-        Duration kill() { return kill; }
-
         boolean forbids(Invocation inv, Duration now) {
             return inv.arrived().compareTo(lastRun) > 0 || now.compareTo(kill.minus(LEAD)) >= 0;
         }
@@ -835,55 +711,47 @@
     /** What callers are told: when to return, whether to try elsewhere, and how open the server is. */
     public static final class Signals {
         private final Advert advert;
-        private final int callers;
-        private final int cores;
+        private final double window;
         private final Duration longestAdvice;
         private final SplittableRandom chance;
-        private final Ring reads = new Ring();
-        private final Ring throttles = new Ring();
+        private final Ring reads = new Ring(BUCKET, BUCKETS);
+        private final Ring throttles = new Ring(BUCKET, BUCKETS);
         private double openness = 1;
         private Duration delay = Duration.ZERO;
-        private Duration nextTell = Duration.ZERO;
 
-        public Signals(Advert advert, int callers, int cores, Duration longestAdvice, SplittableRandom chance) {
+        public Signals(Advert advert, int callers, int cores, Duration longestAdvice,
+                       SplittableRandom chance) {
             this.advert = advert;
-            this.callers = callers;
-            this.cores = cores;
+            this.window = WINDOW * cores / Math.max(1, callers);
             this.longestAdvice = longestAdvice;
             this.chance = chance;
         }
 
         void read(Duration now, Duration age) {
-            reads.add(now, 1);
+            reads.add(now, 1, 1);
             delay = age;
         }
 
         /**
-         * Guards against a jam of unread invocations, whatever its cause: reading starves the runs, and what is read
-         * late is lost. One throttle with advice keeps its caller away; it does harm where few heed advice.
+         * Guards against a jam of unread invocations, whatever its cause: reading starves the runs, and what
+         * is read late is lost. A throttle with advice keeps its caller away; it harms where few heed it.
          */
-        boolean jammed(Duration now) { return delay.compareTo(JAM) > 0; }
+        boolean jammed() { return delay.compareTo(JAM) > 0; }
 
-        void throttled(Duration now) { throttles.add(now, 1); }
+        void throttled(Duration now) { throttles.add(now, 1, 1); }
 
-        boolean crowded(Duration now) { return throttles.count(now) > CROWDED * reads.count(now); }
+        boolean crowded(Duration now) { return throttles.sum(now) > CROWDED * reads.sum(now); }
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
-            return min(longestAdvice, max(ADVICE, wait.plus(delay)).multipliedBy(50 + chance.nextInt(100)).dividedBy(100));
-        }
-
-        void shut(Server server) {
-            openness = 0;
-            say(server);
+            double spread = seconds(max(ADVICE, wait.plus(delay))) * (0.5 + chance.nextDouble());
+            return min(longestAdvice, span(spread));
         }
 
         /** Opens slowly while little waits, closes quickly while much does. */
         void tell(Server server, Duration wait, Duration objective) {
-            if (advert == Advert.NONE || server.now().compareTo(nextTell) < 0) return;
-            nextTell = server.now().plus(TELL);
-            boolean long_ = seconds(wait.plus(delay)) > seconds(objective) * LONG_WAIT;
-            openness = Math.max(SHUT, Math.min(1, openness * (long_ ? CLOSE : OPEN)));
+            boolean tooLong = seconds(wait.plus(delay)) > seconds(objective) * LONG_WAIT;
+            openness = Math.max(SHUT, Math.min(1, openness * (tooLong ? CLOSE : OPEN)));
             say(server);
         }
 
@@ -891,7 +759,7 @@
             switch (advert) {
                 case LEVEL -> server.advertise(1 - openness);
                 case SHARE -> server.advertise(openness);
-                case WINDOW -> server.advertise(openness * WINDOW * cores / Math.max(1, callers));
+                case WINDOW -> server.advertise(openness * window);
                 default -> { }
             }
         }
--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -10,7 +10,8 @@
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("ochretiller: unknown command '" + String.join(" ", args) + "'; usage: simhost");
+            String words = String.join(" ", args);
+            System.err.println("ochretiller: unknown command '" + words + "'; usage: simhost");
             System.exit(2);
         }
         System.exit(SimHost.serve(System.in, System.out, System.err));
--- /dev/null
+++ b/src/main/java/ochretiller/Ring.java
@@ -0,0 +1,46 @@
+package ochretiller;
+
+import java.time.Duration;
+import java.util.Arrays;
+
+/** Weighted sums over the last buckets of time, which are used again in a ring. */
+final class Ring {
+    private final Duration bucket;
+    private final double[] sums;
+    private final double[] weights;
+    private long head;
+
+    Ring(Duration bucket, int buckets) {
+        this.bucket = bucket;
+        this.sums = new double[buckets];
+        this.weights = new double[buckets];
+    }
+
+    void add(Duration now, double x, double weight) {
+        int at = turn(now);
+        sums[at] += x;
+        weights[at] += weight;
+    }
+
+    double sum(Duration now) {
+        turn(now);
+        return Arrays.stream(sums).sum();
+    }
+
+    double mean(Duration now, double unmeasured) {
+        turn(now);
+        double weight = Arrays.stream(weights).sum();
+        return weight > 0 ? Arrays.stream(sums).sum() / weight : unmeasured;
+    }
+
+    /** Empties the buckets that time has passed, and tells the present one. */
+    private int turn(Duration now) {
+        long to = Math.max(head, now.dividedBy(bucket));
+        for (long i = Math.max(head + 1, to - sums.length + 1); i <= to; i++) {
+            sums[(int) (i % sums.length)] = 0;
+            weights[(int) (i % sums.length)] = 0;
+        }
+        head = to;
+        return (int) (head % sums.length);
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/Work.java
@@ -0,0 +1,29 @@
+package ochretiller;
+
+import java.time.Duration;
+import ochretiller.model.Invocation;
+import ochretiller.model.Operation;
+
+/** One invocation that was read and is not over, and how far it has come. */
+final class Work {
+    enum State { HELD, WAITING, REPLAYING, RUNNING, PARKED, CALLING }
+
+    final Invocation inv;
+    State state = State.HELD;
+    /** Share of its billed value that counts. */
+    double worth = 1;
+    boolean ran;
+    boolean answered;
+    Duration startedAt = Duration.ZERO;
+    Duration parkedAt = Duration.ZERO;
+    /** Time spent at calls since it started. */
+    Duration offCores = Duration.ZERO;
+
+    Work(Invocation inv) {
+        this.inv = inv;
+    }
+
+    Operation operation() {
+        return inv.operation();
+    }
+}
--- a/src/main/java/ochretiller/model/CallEnd.java
+++ b/src/main/java/ochretiller/model/CallEnd.java
@@ -11,7 +11,8 @@
 public record CallEnd(Result result, Duration took) {
     /** What came of a call, and whether it is known not to have run. */
     public enum Result {
-        SUCCEEDED(false), ERRORED(false), TIMED_OUT(false), RESET(false), TURNED_AWAY(true), NOT_REACHED(true);
+        SUCCEEDED(false), ERRORED(false), TIMED_OUT(false), RESET(false),
+        TURNED_AWAY(true), NOT_REACHED(true);
 
         private final boolean neverRan;
 
--- a/src/main/java/ochretiller/model/Invocation.java
+++ b/src/main/java/ochretiller/model/Invocation.java
@@ -16,6 +16,6 @@
  * @param tenant     who it is billed to, or null
  * @param resent     marked as a further try
  */
-public record Invocation(InvId id, InvId forerunner, Operation operation, double kb, Duration arrived, Duration due,
-                         Duration hint, CallerId caller, TenantId tenant, boolean resent) {
+public record Invocation(InvId id, InvId forerunner, Operation operation, double kb, Duration arrived,
+                         Duration due, Duration hint, CallerId caller, TenantId tenant, boolean resent) {
 }
--- a/src/main/java/ochretiller/sim/Instance.java
+++ b/src/main/java/ochretiller/sim/Instance.java
@@ -47,11 +47,12 @@
             case "abandoned" -> choice.gone(id(fields));
             case "blocked" -> choice.blocked(id(fields));
             case "drain" -> choice.leave(now.plus(fields.span("timeBudgetNs", Duration.ZERO)));
-            case "run_over" -> next(runs.remove(id(fields)), new RunEnd(runResult(fields.text("how")), took(fields)));
+            case "run_over" ->
+                next(runs.remove(id(fields)), new RunEnd(runResult(fields.text("how")), took(fields)));
             case "call_ended" ->
                 next(calls.remove(id(fields)), new CallEnd(callResult(fields.text("how")), took(fields)));
             case "timeout_fired" ->
-                next(timers.remove(fields.whole("name")), gauges(Fields.ofGauges(fields.text("serverStats", ""))));
+                next(timers.remove(fields.whole("name")), gauges(fields.text("serverStats", "")));
             default -> throw new MalformedException("unknown event " + event);
         };
         step.act(this);
@@ -78,7 +79,8 @@
         long prior = fields.whole("prior", 0);
         Duration arrived = now.minus(fields.span("ageNs", Duration.ZERO));
         Duration left = fields.span("timeBudgetNs", Duration.ZERO);
-        Duration due = passesDeadline && !left.isZero() ? now.plus(left) : arrived.plus(operation.clientTimeout());
+        boolean told = passesDeadline && !left.isZero();
+        Duration due = told ? now.plus(left) : arrived.plus(operation.clientTimeout());
         String tenant = fields.text("team", "0");
         return new Invocation(id(fields), prior == 0 ? null : new InvId(prior), operation,
             fields.number("sizeKb", 0), arrived, due, fields.span("workHintNs", null),
@@ -86,7 +88,8 @@
             fields.flag("resent"));
     }
 
-    private static Gauges gauges(Fields fields) {
+    private static Gauges gauges(String text) {
+        Fields fields = Fields.ofGauges(text);
         return new Gauges(fields.number("core_use", Double.NaN), fields.number("on_cores", Double.NaN),
             fields.number("heap_share", Double.NaN), fields.number("links", Double.NaN));
     }
@@ -181,13 +184,14 @@
     @Override
     public void after(Duration span, Function<Gauges, Step> then) {
         timers.put(++timerNames, then);
-        write("defer").append("\toffsetNs=").append(span.toNanos()).append("\tname=").append(timerNames).append('\n');
+        write("defer").append("\toffsetNs=").append(span.toNanos())
+            .append("\tname=").append(timerNames).append('\n');
     }
 
     @Override
     public void health(boolean good, boolean stored) {
-        write("set_health").append("\tactive=").append(good ? 1 : 0).append("\tstored=").append(stored ? 1 : 0)
-            .append('\n');
+        write("set_health").append("\tactive=").append(good ? 1 : 0)
+            .append("\tstored=").append(stored ? 1 : 0).append('\n');
     }
 
     @Override
