--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -436,15 +436,16 @@
         boolean room(Duration now) { return kb(now) + entryKb <= shareKb; }
 
         void open(Invocation inv, Duration now) {
-            Token token = new Token(inv.id(), inv.arrived().plus(inv.operation().window()));
-            entries.put(inv.id(), token);
-            live.add(token);
-            order.add(token);
             // A repeat may be read long after it came: an entry is known for one more client timeout.
-            while (now.compareTo(order.peek().expires.plus(inv.operation().clientTimeout())) > 0) {
+            Duration longest = inv.operation().clientTimeout();
+            while (!order.isEmpty() && now.compareTo(order.peek().expires.plus(longest)) > 0) {
                 Token old = order.poll();
                 entries.remove(old.id, old); // a dropped try that came in again has a later entry
             }
+            Token token = new Token(inv.id(), inv.arrived().plus(inv.operation().window()));
+            entries.put(inv.id(), token);
+            live.add(token);
+            order.add(token);
         }
 
         Token mark(InvId id, Token.State state) {
@@ -509,7 +510,7 @@
         private final int peers;
         private final double overShareWorth;
         private final boolean byWork;
-        private final List<Work> held = new ArrayList<>();
+        final List<Work> held = new ArrayList<>();
         private final Map<Operation, Ring> taken = new HashMap<>();
         private final Ring spreads = new Ring(BUCKET, BUCKETS);
 
@@ -640,7 +641,7 @@
         private final ArrayDeque<Duration> lingering = new ArrayDeque<>();
         private int inHand;
 
-        public Calls(double slice, int cores, Duration span, Duration linger) {
+        public Calls(double slice, int cores, Duration linger) {
             this.bound = Math.max(1, Math.min(slice * SLICE, cores * 4.0));
             this.linger = linger;
         }
--- a/src/main/java/ochretiller/sim/Settings.java
+++ b/src/main/java/ochretiller/sim/Settings.java
@@ -56,7 +56,6 @@
             new Choice.Hold(tenants(settings), peers, settings.number("overShareWorth", 1),
                 settings.text("worthBy", "request").equals("work")),
             new Choice.Calls(settings.number("familyInfo.callsOut", Double.MAX_VALUE), cores,
-                settings.span("familyInfo.shareSpanNs", Duration.ofSeconds(1)),
                 settings.span("familyInfo.staysForNs", Duration.ZERO)),
             new Choice.Memory(memoryKb, settings.number("familyInfo.runFactor", 1)),
             new Choice.Drain(settings.span("guarantees.stopSendingWithinNs", Duration.ZERO)),
--- /dev/null
+++ b/src/test/java/ochretiller/ChoiceTest.java
@@ -0,0 +1,288 @@
+package ochretiller;
+
+import static ochretiller.Fixture.ORDER;
+import static ochretiller.Fixture.READ;
+import static ochretiller.Fixture.SECOND;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import ochretiller.model.*;
+import org.junit.jupiter.api.Test;
+
+class ChoiceTest {
+    private final Fixture server = new Fixture();
+
+    /** Both cores run, so that what comes next is held. */
+    private void busy() {
+        server.arrive(101, READ, null);
+        server.arrive(102, READ, null);
+    }
+
+    private List<String> drain(Duration kill) {
+        return server.act(server.choice().leave(kill));
+    }
+
+    @Test
+    void tokenedIsMarkedWhenReadAndRuns() {
+        assertThat(server.arrive(1, ORDER, null)).containsExactly("keep 1", "run 1");
+    }
+
+    @Test
+    void tokenedIsMarkedWhileHeld() {
+        busy();
+        assertThat(server.arrive(1, ORDER, null)).containsExactly("keep 1");
+    }
+
+    @Test
+    void repeatOfRunningWaitsAndReplays() {
+        server.arrive(1, ORDER, null);
+        assertThat(server.arrive(2, ORDER, 1L)).isEmpty();
+        assertThat(server.end(1, RunEnd.Result.SUCCEEDED)).containsExactly("replay 2");
+    }
+
+    @Test
+    void repeatOfSucceededReplaysAtOnce() {
+        server.arrive(1, ORDER, null);
+        server.end(1, RunEnd.Result.SUCCEEDED);
+        assertThat(server.arrive(2, ORDER, 1L)).containsExactly("replay 2");
+    }
+
+    @Test
+    void repeatOfFailedRunIsFailedAndNeverRuns() {
+        server.arrive(1, ORDER, null);
+        server.end(1, RunEnd.Result.ERRORED);
+        assertThat(server.arrive(2, ORDER, 1L)).containsExactly("fail 2");
+    }
+
+    @Test
+    void repeatOfStoppedRunIsFailed() {
+        server.arrive(1, ORDER, null);
+        server.arrive(2, ORDER, 1L);
+        assertThat(server.end(1, RunEnd.Result.STOPPED)).containsExactly("fail 2");
+    }
+
+    @Test
+    void repeatOfUnknownForerunnerReplays() {
+        assertThat(server.arrive(2, ORDER, 1L)).containsExactly("replay 2");
+    }
+
+    @Test
+    void repeatOfOneThatNeverRanTakesItsPlace() {
+        busy();
+        server.arrive(1, ORDER, null);
+        server.arrive(2, ORDER, 1L);
+        assertThat(server.act(server.choice().gone(new InvId(1)))).containsExactly("erase 1", "keep 2");
+    }
+
+    @Test
+    void repeatOfThrottledMayRun() {
+        busy();
+        server.arrive(1, ORDER, null);
+        server.act(server.choice().gone(new InvId(1)));
+        server.end(101, RunEnd.Result.SUCCEEDED);
+        assertThat(server.arrive(2, ORDER, 1L)).containsExactly("keep 2", "run 2");
+    }
+
+    @Test
+    void repeatNearItsDueTimeFailsOnceItsForerunnerStarted() {
+        server.arrive(1, ORDER, null);
+        server.now = SECOND;
+        server.arrive(2, ORDER, 1L);
+        server.beat(SECOND.multipliedBy(4));
+        assertThat(server.beat(SECOND.multipliedBy(5))).contains("fail 2").doesNotContain("throttle 2", "last 2");
+    }
+
+    @Test
+    void fullShareThrottlesTokenedNewcomerBeforeItRuns() {
+        server.entryKb = 3_000;
+        server.arrive(1, ORDER, null);
+        assertThat(server.arrive(2, ORDER, null)).containsExactly("last 2");
+        assertThat(server.arrive(3, READ, null)).containsExactly("run 3");
+    }
+
+    @Test
+    void entryFreesItsMemoryAfterItsWindow() {
+        Choice.TokenTable tokens = new Choice.TokenTable(3_000, 10_000);
+        tokens.open(server.inv(1, ORDER, null), Duration.ZERO);
+        assertThat(tokens.room(SECOND.multipliedBy(9))).isFalse();
+        assertThat(tokens.room(SECOND.multipliedBy(11))).isTrue();
+    }
+
+    @Test
+    void oneDroppedAndReadAgainLateDoesNotUpsetTheTable() {
+        Choice.TokenTable tokens = new Choice.TokenTable(10, 10_000);
+        tokens.open(server.inv(1, ORDER, null), Duration.ZERO);
+        tokens.open(server.inv(1, ORDER, null), Duration.ZERO);
+        tokens.open(server.inv(2, ORDER, null), SECOND.multipliedBy(30));
+        assertThat(tokens.room(SECOND.multipliedBy(30))).isTrue();
+    }
+
+    @Test
+    void readTooLateIsThrottledAndNotKept() {
+        Invocation old = server.inv(1, ORDER, null);
+        server.now = SECOND.multipliedBy(20);
+        assertThat(server.act(server.choice().arrived(old))).containsExactly("last 1");
+    }
+
+    @Test
+    void runningIsFailedBeforeItsDueTimeAndStopped() {
+        server.arrive(1, READ, null);
+        assertThat(server.beat(Duration.ofMillis(3_900))).doesNotContain("fail 1");
+        assertThat(server.beat(Duration.ofMillis(3_930))).contains("fail 1", "stop 1");
+        assertThat(server.end(1, RunEnd.Result.STOPPED)).isEmpty();
+    }
+
+    @Test
+    void tokenedRunIsNeverStopped() {
+        server.arrive(1, ORDER, null);
+        assertThat(server.act(server.choice().gone(new InvId(1)))).isEmpty();
+    }
+
+    @Test
+    void heldPastHopeIsThrottledAtOnce() {
+        busy();
+        server.arrive(1, READ, null);
+        assertThat(server.beat(Duration.ofMillis(1_600))).contains("last 1");
+    }
+
+    @Test
+    void drainRunsNothingThatCameAfterTheGrace() {
+        assertThat(drain(SECOND.multipliedBy(5))).contains("unwell");
+        server.now = Duration.ofMillis(900);
+        assertThat(server.arrive(1, READ, null)).contains("run 1");
+        server.now = Duration.ofMillis(1_001);
+        assertThat(server.arrive(2, READ, null)).containsExactly("throttle 2");
+    }
+
+    @Test
+    void drainAnswersAllBeforeTheKill() {
+        busy();
+        server.arrive(1, ORDER, null);
+        drain(SECOND);
+        assertThat(server.beat(Duration.ofMillis(930)))
+            .contains("fail 101", "fail 102", "throttle 1", "erase 1");
+    }
+
+    @Test
+    void fullMemoryThrottlesWhatIsHeld() {
+        server.memoryKb = 245;
+        busy();
+        server.arrive(1, READ, null);
+        server.arrive(2, READ, null);
+        assertThat(server.arrive(3, READ, null)).containsExactly("throttle 3");
+    }
+
+    @Test
+    void nothingStartsWithoutMemoryToRun() {
+        server.memoryKb = 150;
+        server.arrive(1, READ, null);
+        assertThat(server.arrive(2, READ, null)).isEmpty();
+    }
+
+    @Test
+    void runLimitStartsAtTheCoresAndClimbsByDoubling() {
+        Choice.RunLimit limit = new Choice.RunLimit(6, 8, 1, Duration.ZERO, true);
+        Gauges idle = new Gauges(0.5, 6, 0.2, 1);
+        assertThat(limit.now(Duration.ZERO)).isEqualTo(6);
+        limit.observe(SECOND, idle, 3);
+        limit.observe(SECOND.multipliedBy(2), idle, 3);
+        assertThat(limit.now(SECOND.multipliedBy(2))).isEqualTo(9);
+    }
+
+    @Test
+    void runLimitStaysUnderTheCrowdThatAColdServerSurvives() {
+        Choice.RunLimit limit = new Choice.RunLimit(6, 8, 0.2, SECOND.multipliedBy(10), true);
+        for (int i = 1; i <= 8; i++) limit.observe(SECOND.multipliedBy(i), new Gauges(0.5, 6, 0.2, 1), 3);
+        assertThat(limit.now(Duration.ZERO)).isLessThan((int) (6 * (1 + 7 * 0.2)));
+        assertThat(limit.now(SECOND.multipliedBy(10))).isLessThan(48);
+    }
+
+    @Test
+    void runLimitStepsBackOnlyWhenCompletionsFallOnBusyCores() {
+        Choice.RunLimit limit = new Choice.RunLimit(6, 8, 1, Duration.ZERO, true);
+        limit.observe(SECOND, new Gauges(0.5, 6, 0.2, 1), 3);
+        limit.observe(SECOND.multipliedBy(2), new Gauges(0.99, 7, 0.2, 1), 3);
+        assertThat(limit.now(SECOND.multipliedBy(2))).isEqualTo(7);
+    }
+
+    @Test
+    void callsKeepTheirBoundAndFollowOn() {
+        server.slice = 1;
+        server.arrive(1, ORDER, null);
+        server.arrive(2, ORDER, null);
+        assertThat(server.act(server.choice().blocked(new InvId(1)))).containsExactly("call 1");
+        assertThat(server.act(server.choice().blocked(new InvId(2)))).isEmpty();
+        assertThat(server.endCall(1, CallEnd.Result.SUCCEEDED)).containsExactly("call 2");
+    }
+
+    @Test
+    void callThatMayHaveRunIsNotMadeAgain() {
+        server.arrive(1, ORDER, null);
+        server.act(server.choice().blocked(new InvId(1)));
+        assertThat(server.endCall(1, CallEnd.Result.TIMED_OUT)).containsExactly("fail 1");
+    }
+
+    @Test
+    void callThatNeverRanIsMadeAgainOnABeat() {
+        server.arrive(1, ORDER, null);
+        server.act(server.choice().blocked(new InvId(1)));
+        assertThat(server.endCall(1, CallEnd.Result.TURNED_AWAY)).isEmpty();
+        assertThat(server.act(server.timer.apply(Gauges.NONE))).containsExactly("call 1");
+    }
+
+    @Test
+    void blockedRunLeavesItsPlace() {
+        busy();
+        server.arrive(1, READ, null);
+        assertThat(server.act(server.choice().blocked(new InvId(101)))).containsExactly("call 101", "run 1");
+    }
+
+    @Test
+    void heldStartByBilledValueOverExpectedWork() {
+        busy();
+        server.arrive(1, READ, null);
+        server.arrive(2, ORDER, null);
+        assertThat(server.end(101, RunEnd.Result.SUCCEEDED)).containsExactly("run 2");
+    }
+
+    @Test
+    void whoHasMostInTheHoldLosesTheNextPlace() {
+        Choice.Hold hold = new Choice.Hold(List.of(), 1, 1, false);
+        for (long id : new long[] {1, 3, 5, 2}) hold.held.add(new Work(server.inv(id, READ, null)));
+        assertThat(hold.loser(hold.ordered(Duration.ZERO)).inv.id()).isEqualTo(new InvId(5));
+    }
+
+    @Test
+    void whatATenantSendsBeyondItsQuotaCountsLittle() {
+        TenantId one = new TenantId("one");
+        Choice.Hold hold = new Choice.Hold(List.of(new Tenant(one, 1, 2)), 1, 0.1, false);
+        Invocation inv = new Invocation(new InvId(1), null, READ, 1, Duration.ZERO, SECOND, null, new CallerId(1),
+            one, false);
+        for (int i = 0; i < 6; i++) assertThat(hold.worth(inv, SECOND.multipliedBy(2))).isEqualTo(1);
+        assertThat(hold.worth(inv, SECOND.multipliedBy(2))).isEqualTo(0.1);
+    }
+
+    @Test
+    void lateReadingThrottlesIdempotentNewcomers() {
+        Invocation old = server.inv(1, READ, null);
+        server.now = Duration.ofMillis(500);
+        assertThat(server.act(server.choice().arrived(old))).containsExactly("last 1");
+    }
+
+    @Test
+    void adviceIsNeverLongerThanWhatIsHeeded() {
+        Choice.Signals signals = new Choice.Signals(Advert.NONE, 1, 2, SECOND, new SplittableRandom(1));
+        assertThat(signals.advice(SECOND.multipliedBy(9))).isEqualTo(SECOND);
+        assertThat(signals.advice(Duration.ZERO)).isPositive().isLessThan(SECOND);
+    }
+
+    @Test
+    void windowClosesWhileTheHoldIsLong() {
+        server.advert = Advert.WINDOW;
+        busy();
+        for (long id = 1; id < 5; id++) server.arrive(id, READ, null);
+        assertThat(server.beat(Duration.ofMillis(20))).contains("advertise " + 12 * 0.98);
+    }
+}
