--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -57,7 +57,7 @@
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.2;
     /** Time unread over which reading is jammed; several times what reading takes on a calm server. */
-    private static final Duration JAM = Duration.ofMillis(400);
+    private static final Duration JAM = Duration.ofMillis(200);
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
     private static final double QUOTA_SLACK = 1.3;
 
