--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -56,8 +56,8 @@
     private static final double WINDOW = 6;
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.2;
-    /** Time unread over which reading is jammed; several times what reading takes on a calm server. */
-    private static final Duration JAM = Duration.ofMillis(200);
+    /** Time unread over which reading is jammed, as a share of the shortest objective: the rest has to run. */
+    private static final double JAM = 0.3;
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
     private static final double QUOTA_SLACK = 1.3;
 
@@ -128,7 +128,7 @@
         boolean late = now.compareTo(goal(work)) > 0;
         boolean full = work.operation().tokened()
             && !(tokens.room(now) && memory.room(tokens.entryKb, tokens.kb(now)));
-        boolean jammed = work.operation().idempotent() && signals.jammed();
+        boolean jammed = work.operation().idempotent() && signals.jammed(hold.shortest());
         if (late || full || jammed || drain.forbids(work.inv, now)) {
             throttle(server, work, late);
             return;
@@ -737,7 +737,7 @@
          * Guards against a jam of unread invocations, whatever its cause: reading starves the runs, and what
          * is read late is lost. A throttle with advice keeps its caller away; it harms where few heed it.
          */
-        boolean jammed() { return delay.compareTo(JAM) > 0; }
+        boolean jammed(Duration objective) { return seconds(delay) > seconds(objective) * JAM; }
 
         void throttled(Duration now) { throttles.add(now, 1, 1); }
 
