--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -55,7 +55,7 @@
     /** Window, by core, that all callers together get at full openness. */
     private static final double WINDOW = 6;
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
-    private static final double LONG_WAIT = 0.2;
+    private static final double LONG_WAIT = 0.4;
     /** Time unread over which reading is jammed, as a share of the shortest objective: the rest has to run. */
     private static final double JAM = 0.3;
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
