--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -745,7 +745,7 @@
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
-            double spread = seconds(max(ADVICE, wait.plus(delay))) * (1.5 + chance.nextDouble());
+            double spread = seconds(max(ADVICE, wait.plus(delay))) * (0.25 + chance.nextDouble() / 2);
             return min(longestAdvice, span(spread));
         }
 
