--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -58,6 +58,8 @@
     private static final double LONG_WAIT = 0.4;
     /** Time unread over which reading is jammed, as a share of the shortest objective: the rest has to run. */
     private static final double JAM = 0.3;
+    /** The like over which health goes bad until the jam is gone: callers hear of advice too late. */
+    private static final double DEEP_JAM = 1;
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
     private static final double QUOTA_SLACK = 1.3;
 
@@ -359,11 +361,8 @@
         server.erase(work.inv.id());
         for (Work next : waiting) {
             Token first = tokens.entries.get(waiting.get(0).inv.id());
-            if (first == null || first.state == Token.State.DROPPED) {
-                admit(server, next);
-            } else {
-                repeat(server, next, first);
-            }
+            if (first == null || first.state == Token.State.DROPPED) admit(server, next);
+            else repeat(server, next, first);
         }
     }
 
@@ -719,6 +718,8 @@
         private final Ring throttles = new Ring(BUCKET, BUCKETS);
         private double openness = 1;
         private Duration delay = Duration.ZERO;
+        private Duration readAt = Duration.ZERO;
+        private boolean healthy = true;
 
         public Signals(Advert advert, int callers, int cores, Duration longestAdvice,
                        SplittableRandom chance) {
@@ -731,6 +732,7 @@
         void read(Duration now, Duration age) {
             reads.add(now, 1, 1);
             delay = age;
+            readAt = now;
         }
 
         /**
@@ -751,18 +753,22 @@
 
         /** Opens slowly while little waits, closes quickly while much does. */
         void tell(Server server, Duration wait, Duration objective) {
+            if (server.now().minus(readAt).compareTo(BUCKET) > 0) delay = Duration.ZERO;
+            boolean deep = seconds(delay) > seconds(objective) * DEEP_JAM;
+            if (healthy ? deep : !jammed(objective)) {
+                // Guards against a jam that feeds itself: callers that wait no longer never get the advice.
+                healthy = !healthy;
+                server.health(healthy, true);
+            }
             boolean tooLong = seconds(wait.plus(delay)) > seconds(objective) * LONG_WAIT;
             openness = Math.max(SHUT, Math.min(1, openness * (tooLong ? CLOSE : OPEN)));
             say(server);
         }
 
         private void say(Server server) {
-            switch (advert) {
-                case LEVEL -> server.advertise(1 - openness);
-                case SHARE -> server.advertise(openness);
-                case WINDOW -> server.advertise(openness * window);
-                default -> { }
-            }
+            if (advert == Advert.NONE) return;
+            double scaled = advert == Advert.WINDOW ? openness * window : openness;
+            server.advertise(advert == Advert.LEVEL ? 1 - openness : scaled);
         }
     }
 }
