--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -130,7 +130,8 @@
         boolean late = now.compareTo(goal(work)) > 0;
         boolean full = work.operation().tokened()
             && !(tokens.room(now) && memory.room(tokens.entryKb, tokens.kb(now)));
-        boolean jammed = work.operation().idempotent() && signals.jammed(hold.shortest());
+        boolean jammed = work.operation().idempotent() && hold.held.size() > 0
+            && signals.jammed(hold.shortest());
         if (late || full || jammed || drain.forbids(work.inv, now)) {
             throttle(server, work, late);
             return;
