--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -57,7 +57,7 @@
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.4;
     /** Time unread over which reading is jammed, as a share of the shortest objective: the rest has to run. */
-    private static final double JAM = 0.3;
+    private static final double JAM = 0.2;
     /** The like over which health goes bad until the jam is gone: callers hear of advice too late. */
     private static final double DEEP_JAM = 1;
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
@@ -130,8 +130,7 @@
         boolean late = now.compareTo(goal(work)) > 0;
         boolean full = work.operation().tokened()
             && !(tokens.room(now) && memory.room(tokens.entryKb, tokens.kb(now)));
-        boolean jammed = work.operation().idempotent() && hold.held.size() > 0
-            && signals.jammed(hold.shortest());
+        boolean jammed = work.operation().idempotent() && signals.jammed(hold.shortest());
         if (late || full || jammed || drain.forbids(work.inv, now)) {
             throttle(server, work, late);
             return;
@@ -169,7 +168,7 @@
         if (room <= 0 || hold.held.size() == 0) return;
         boolean parkedFull = calls.parked.size() >= PARKED * limit.cores;
         for (Work work : hold.ordered(now)) {
-            if (room == 0 || !memory.roomToRun(work.inv.kb(), tokens.kb(now))) return;
+            if (room == 0 || !memory.room(work.inv.kb() * (memory.runFactor - 1), tokens.kb(now))) return;
             if (!(parkedFull && work.operation().calls())) {
                 hold.held.remove(work);
                 run(server, work);
@@ -205,9 +204,7 @@
                 hold.measured(work.inv, end.took().minus(work.offCores), now);
             }
             Token token = tokens.mark(work.inv.id(), succeeded ? Token.State.SUCCEEDED : Token.State.LOST);
-            if (token != null) {
-                for (Work waiting : token.release()) repeat(server, waiting, token);
-            }
+            if (token != null) token.release().forEach(waiting -> repeat(server, waiting, token));
             pump(server);
             fill(server);
         };
@@ -389,9 +386,7 @@
 
     private static double seconds(Duration span) { return span.toNanos() / 1e9; }
 
-    private static Duration span(double seconds) {
-        return Duration.ofNanos((long) (Math.min(seconds, 1e6) * 1e9));
-    }
+    private static Duration span(double s) { return Duration.ofNanos((long) (Math.min(s, 1e6) * 1e9)); }
 
     /** The entry of one tokened try: the mark, and the repeats that wait for it. */
     static final class Token {
@@ -628,8 +623,7 @@
         }
 
         Duration shortest() {
-            return taken.keySet().stream().map(Operation::objective).min(Comparator.naturalOrder())
-                .orElse(BUCKET);
+            return taken.keySet().stream().map(Operation::objective).sorted().findFirst().orElse(BUCKET);
         }
     }
 
@@ -685,7 +679,6 @@
 
         boolean room(double moreKb, double tokensKb) { return usedKb + tokensKb + moreKb <= limitKb; }
 
-        boolean roomToRun(double kb, double tokensKb) { return room(kb * (runFactor - 1), tokensKb); }
     }
 
     /** Leaving: what came after the grace is not run, and all is answered before the kill. */
