--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -56,8 +56,10 @@
     private static final double WINDOW = 6;
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.4;
-    /** Time unread over which reading is jammed, as a share of the shortest objective: the rest has to run. */
+    /** Time unread over which reading is jammed, as a share of the shortest objective; later where the
+     * free value keeps callers away first, without a throttle. */
     private static final double JAM = 0.2;
+    private static final double TOLD_JAM = 0.5;
     /** The like over which health goes bad until the jam is gone: callers hear of advice too late. */
     private static final double DEEP_JAM = 1;
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
@@ -733,7 +735,9 @@
          * Guards against a jam of unread invocations, whatever its cause: reading starves the runs, and what
          * is read late is lost. A throttle with advice keeps its caller away; it harms where few heed it.
          */
-        boolean jammed(Duration objective) { return seconds(delay) > seconds(objective) * JAM; }
+        boolean jammed(Duration objective) {
+            return seconds(delay) > seconds(objective) * (advert == Advert.NONE ? JAM : TOLD_JAM);
+        }
 
         void throttled(Duration now) { throttles.add(now, 1, 1); }
 
