--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -118,8 +118,7 @@
         if (token == null || token.state == Token.State.SUCCEEDED) {
             replay(server, work); // an unknown forerunner may have run: there is its answer, or an error
         } else if (token.state == Token.State.LOST) {
-            // Guards against a second effect: a run that failed or was stopped may have done its work.
-            fail(server, work);
+            fail(server, work); // guards against a second effect: what failed may have done its work
         } else {
             work.state = Work.State.WAITING;
             token.waiting.add(work);
@@ -231,8 +230,8 @@
         for (Work work = calls.next(now); work != null; work = calls.next(now)) {
             Work caller = work;
             caller.state = Work.State.CALLING;
-            Duration patience = caller.inv.due().minus(LEAD).minus(now);
-            server.call(caller.inv.id(), max(patience, BEAT), end -> called(caller, end));
+            Duration patience = max(caller.inv.due().minus(LEAD).minus(now), BEAT);
+            server.call(caller.inv.id(), patience, end -> called(caller, end));
         }
     }
 
@@ -731,10 +730,8 @@
             readAt = now;
         }
 
-        /**
-         * Guards against a jam of unread invocations, whatever its cause: reading starves the runs, and what
-         * is read late is lost. A throttle with advice keeps its caller away; it harms where few heed it.
-         */
+        /** Guards against a jam of unread invocations, whatever its cause: reading starves the runs, what is
+         * read late is lost. A throttle with advice keeps its caller away; it harms where few heed it. */
         boolean jammed(Duration objective) {
             return seconds(delay) > seconds(objective) * (advert == Advert.NONE ? JAM : TOLD_JAM);
         }
@@ -758,7 +755,8 @@
                 healthy = !healthy;
                 server.health(healthy, true);
             }
-            boolean tooLong = seconds(wait.plus(delay)) > seconds(objective) * LONG_WAIT;
+            boolean tooLong = seconds(wait) > seconds(objective) * LONG_WAIT
+                || seconds(delay) > seconds(objective) * JAM;
             openness = Math.max(SHUT, Math.min(1, openness * (tooLong ? CLOSE : OPEN)));
             say(server);
         }
