Count a stall as time unread and free the hold in it

Cause: a server whose work stands still goes on reading and holding. Also covers long pauses; could harm when a few very long runs hold all cores.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -62,6 +62,8 @@
     private static final double TOLD_JAM = 0.5;
     /** The like over which health goes bad until the jam is gone: callers hear of advice too late. */
     private static final double DEEP_JAM = 1;
+    /** No run has ended for so many times the longest that is expected of those that run: a stall. */
+    private static final double STALL = 3;
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
     private static final double QUOTA_SLACK = 1.3;
 
@@ -73,6 +75,7 @@
     private final Drain drain;
     private final Signals signals;
     private final Map<InvId, Work> works = new LinkedHashMap<>();
+    private Duration movedAt = Duration.ZERO;
 
     public Choice(TokenTable tokens, RunLimit limit, Hold hold, Calls calls, Memory memory, Drain drain,
                   Signals signals) {
@@ -98,7 +101,7 @@
         return server -> {
             Work work = new Work(inv);
             works.put(inv.id(), work);
-            memory.take(inv.kb());
+            memory.usedKb += inv.kb();
             signals.read(server.now(), server.now().minus(inv.arrived()));
             work.worth = hold.worth(inv, server.now());
             Token token = inv.forerunner() == null ? null : tokens.entries.get(inv.forerunner());
@@ -179,10 +182,11 @@
     }
 
     private void run(Server server, Work work) {
+        if (running().isEmpty()) movedAt = server.now();
         work.state = Work.State.RUNNING;
         work.ran = true;
         work.startedAt = server.now();
-        memory.run(work.inv.kb());
+        memory.usedKb += work.inv.kb() * (memory.runFactor - 1);
         tokens.mark(work.inv.id(), Token.State.RUNNING);
         server.run(work.inv.id(), end -> ended(work, end));
     }
@@ -196,7 +200,8 @@
     private Step ended(Work work, RunEnd end) {
         return server -> {
             Duration now = server.now();
-            if (work.state == Work.State.CALLING) calls.left(now);
+            movedAt = now;
+            if (work.state == Work.State.CALLING) calls.ended(now, true);
             calls.parked.remove(work);
             forget(work);
             boolean succeeded = end.result() == RunEnd.Result.SUCCEEDED;
@@ -216,7 +221,8 @@
         return server -> {
             Work work = works.get(id);
             if (work == null || work.answered) return;
-            if (work.state == Work.State.RUNNING) work.parkedAt = server.now();
+            movedAt = server.now();
+            if (work.state == Work.State.RUNNING) work.parkedAt = movedAt;
             work.state = Work.State.PARKED;
             calls.parked.add(work);
             pump(server);
@@ -238,7 +244,7 @@
     private Step called(Work work, CallEnd end) {
         return server -> {
             Duration now = server.now();
-            calls.ended(now, end);
+            calls.ended(now, end.result() == CallEnd.Result.TIMED_OUT);
             if (end.result() == CallEnd.Result.SUCCEEDED) {
                 work.state = Work.State.RUNNING;
                 work.offCores = work.offCores.plus(now.minus(work.parkedAt));
@@ -297,6 +303,8 @@
         return server -> {
             Duration now = server.now();
             limit.observe(now, gauges, hold.held.size());
+            signals.stalled = seconds(now.minus(movedAt)) > STALL * hold.longest(now, running());
+            if (signals.stalled) signals.delay = max(signals.delay, now.minus(movedAt));
             for (Work work : new ArrayList<>(works.values())) overdue(server, work, now);
             squeeze(server);
             pump(server);
@@ -315,7 +323,9 @@
         Token mark = tokens.entries.get(work.inv.forerunner());
         boolean held = work.state == Work.State.HELD
             || work.state == Work.State.WAITING && mark != null && mark.state == Token.State.UNRUN;
-        if (held && (due || drain.forbids(work.inv, now))) {
+        // Guards against a server that stands still: what is held may still be in time elsewhere.
+        boolean moot = signals.stalled && work.operation().idempotent();
+        if (held && (due || moot || drain.forbids(work.inv, now))) {
             hold.held.remove(work);
             tokens.leave(work);
             throttle(server, work, false);
@@ -564,13 +574,17 @@
         private double runsLeft(Duration now, List<Work> running) {
             double left = 0;
             for (Work work : running) {
-                double expected = expected(work.inv, now);
                 double done = seconds(now.minus(work.startedAt).minus(work.offCores));
-                left += Math.max(expected - done, expected / 4);
+                left += Math.max(expected(work.inv, now) - done, expected(work.inv, now) / 4);
             }
             return left / 2;
         }
 
+        /** The longest expected run of those; no end for some times as long is a stall. */
+        double longest(Duration now, List<Work> running) {
+            return running.stream().mapToDouble(w -> expected(w.inv, now)).max().orElse(Double.MAX_VALUE);
+        }
+
         /** Time until what comes last would start. */
         Duration wait(Duration now, int limit, List<Work> running) {
             double ahead = running.size() < limit ? 0 : runsLeft(now, running);
@@ -649,15 +663,9 @@
             return parked.poll();
         }
 
-        void ended(Duration now, CallEnd end) {
-            inHand--;
-            if (end.result() == CallEnd.Result.TIMED_OUT) lingering.add(now.plus(linger));
-        }
-
-        /** Its invocation ended while the call was out. */
-        void left(Duration now) {
+        void ended(Duration now, boolean givenUp) {
             inHand--;
-            lingering.add(now.plus(linger));
+            if (givenUp) lingering.add(now.plus(linger));
         }
     }
 
@@ -672,10 +680,6 @@
             this.runFactor = runFactor;
         }
 
-        void take(double kb) { usedKb += kb; }
-
-        void run(double kb) { usedKb += kb * (runFactor - 1); }
-
         void release(double kb, boolean ran) { usedKb -= ran ? kb * runFactor : kb; }
 
         boolean room(double moreKb, double tokensKb) { return usedKb + tokensKb + moreKb <= limitKb; }
@@ -707,7 +711,7 @@
     public static final class Signals {
         private final Advert advert;
         private final double window;
-        private final Duration longestAdvice;
+        private final Duration longest;
         private final SplittableRandom chance;
         private final Ring reads = new Ring(BUCKET, BUCKETS);
         private final Ring throttles = new Ring(BUCKET, BUCKETS);
@@ -715,12 +719,12 @@
         private Duration delay = Duration.ZERO;
         private Duration readAt = Duration.ZERO;
         private boolean healthy = true;
+        private boolean stalled;
 
-        public Signals(Advert advert, int callers, int cores, Duration longestAdvice,
-                       SplittableRandom chance) {
+        public Signals(Advert advert, int callers, int cores, Duration longest, SplittableRandom chance) {
             this.advert = advert;
             this.window = WINDOW * cores / Math.max(1, callers);
-            this.longestAdvice = longestAdvice;
+            this.longest = longest;
             this.chance = chance;
         }
 
@@ -743,12 +747,12 @@
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
             double spread = seconds(max(ADVICE, wait.plus(delay))) * (0.25 + chance.nextDouble() / 2);
-            return min(longestAdvice, span(spread));
+            return min(longest, span(spread));
         }
 
         /** Opens slowly while little waits, closes quickly while much does. */
         void tell(Server server, Duration wait, Duration objective) {
-            if (server.now().minus(readAt).compareTo(BUCKET) > 0) delay = Duration.ZERO;
+            if (!stalled && server.now().minus(readAt).compareTo(BUCKET) > 0) delay = Duration.ZERO;
             boolean deep = seconds(delay) > seconds(objective) * DEEP_JAM;
             if (healthy ? deep : !jammed(objective)) {
                 // Guards against a jam that feeds itself: callers that wait no longer never get the advice.
