--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -3,8 +3,7 @@
 import java.time.Duration;
 import java.util.*;
 import ochretiller.model.*;
-import ochretiller.server.Server;
-import ochretiller.server.Step;
+import ochretiller.server.*;
 
 /**
  * All decisions of one server: what it runs, holds, replays, turns away, and what it tells its callers.
@@ -111,7 +110,7 @@
             } else {
                 admit(server, work);
             }
-            relieve(server);
+            squeeze(server);
             fill(server);
         };
     }
@@ -146,20 +145,15 @@
         }
         work.state = Work.State.HELD;
         hold.held.add(work);
-        squeeze(server);
     }
 
-    /** Gives up what cannot start in time any more; the places go by who has most in the hold. */
+    /** Gives up what cannot end in time any more, or has no room; who has most in the hold loses first. */
     private void squeeze(Server server) {
         for (Work late : hold.squeeze(server.now(), limit.now(server.now()), running())) {
             throttle(server, late, server.now().compareTo(goal(late)) > 0);
         }
-    }
-
-    /** Guards against the death by memory: held work makes room, whoever has most first. */
-    private void relieve(Server server) {
         while (!memory.room(0, tokens.kb(server.now())) && hold.held.size() > 0) {
-            Work loser = hold.loser(hold.ordered(server.now()));
+            Work loser = hold.loser(hold.ordered(server.now())); // guards against the death by memory
             hold.held.remove(loser);
             throttle(server, loser, false);
         }
@@ -170,10 +164,9 @@
         Duration now = server.now();
         int room = limit.now(now) - running().size();
         if (room <= 0 || hold.held.size() == 0) return;
-        boolean parkedFull = calls.parked.size() >= PARKED * limit.cores;
         for (Work work : hold.ordered(now)) {
             if (room == 0 || !memory.room(work.inv.kb() * (memory.runFactor - 1), tokens.kb(now))) return;
-            if (!(parkedFull && work.operation().calls())) {
+            if (!work.operation().calls() || calls.parked.size() < PARKED * limit.cores) {
                 hold.held.remove(work);
                 run(server, work);
                 room--;
@@ -346,7 +339,7 @@
     private void throttle(Server server, Work work, boolean last) {
         Duration now = server.now();
         dropped(server, work);
-        signals.throttled(now);
+        signals.throttles.add(now, 1, 1);
         server.throttle(work.inv.id(), signals.advice(wait(now)),
             !drain.noticed() && (last || signals.crowded(now)));
         work.answered = true;
@@ -633,8 +626,8 @@
             return loser;
         }
 
-        private static Object group(Work work) {
-            return work.inv.tenant() != null ? work.inv.tenant() : work.inv.caller();
+        private static Object group(Work w) {
+            return w.inv.tenant() != null ? w.inv.tenant() : w.inv.caller();
         }
 
         Duration shortest() {
@@ -740,14 +733,11 @@
             return seconds(delay) > seconds(objective) * (advert == Advert.NONE ? JAM : TOLD_JAM);
         }
 
-        void throttled(Duration now) { throttles.add(now, 1, 1); }
-
         boolean crowded(Duration now) { return throttles.sum(now) > CROWDED * reads.sum(now); }
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
-            double spread = seconds(max(ADVICE, wait.plus(delay))) * (0.25 + chance.nextDouble() / 2);
-            return min(longest, span(spread));
+            return min(longest, span(seconds(max(ADVICE, wait.plus(delay))) * (0.25 + chance.nextDouble() / 2)));
         }
 
         /** Opens slowly while little waits, closes quickly while much does. */
--- a/src/test/java/ochretiller/ChoiceTest.java
+++ b/src/test/java/ochretiller/ChoiceTest.java
@@ -285,4 +285,42 @@
         for (long id = 1; id < 5; id++) server.arrive(id, READ, null);
         assertThat(server.beat(Duration.ofMillis(20))).contains("advertise " + 12 * 0.98);
     }
+
+    @Test
+    void deepJamTurnsHealthBadUntilNothingIsReadLate() {
+        server.beat(Duration.ZERO);
+        Invocation old = server.inv(1, READ, null);
+        server.now = Duration.ofMillis(2_500);
+        server.act(server.choice().arrived(old));
+        assertThat(server.beat(Duration.ofMillis(2_600))).contains("unwell");
+        assertThat(server.beat(Duration.ofMillis(3_200))).contains("well");
+    }
+
+    @Test
+    void stallThrottlesWhatIsHeldButNotTokened() {
+        busy();
+        server.arrive(1, READ, null);
+        server.arrive(2, ORDER, null);
+        server.beat(Duration.ofMillis(1_250));
+        assertThat(server.said).contains("throttle 1").doesNotContain("throttle 2");
+    }
+
+    @Test
+    void tokenedInvocationsPassTheJamGuard() {
+        busy();
+        Invocation old = server.inv(1, ORDER, null);
+        server.now = Duration.ofMillis(500);
+        assertThat(server.act(server.choice().arrived(old))).containsExactly("keep 1");
+    }
+
+    @Test
+    void twoRepeatsOfOneDroppedShareItsPlace() {
+        busy();
+        server.arrive(1, ORDER, null);
+        server.arrive(2, ORDER, 1L);
+        server.arrive(3, ORDER, 1L);
+        server.act(server.choice().gone(new InvId(1)));
+        server.end(101, RunEnd.Result.SUCCEEDED);
+        assertThat(server.end(2, RunEnd.Result.SUCCEEDED)).contains("replay 3");
+    }
 }
