--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -45,7 +45,7 @@
     private static final double SPREADS = 1.1;
     /** Throttled share of what was read over which other servers are taken to be no better off. */
     private static final double CROWDED = 0.3;
-    /** Shortest advice to stay away: about the time in which one run ends. */
+    /** Shortest wait that advice counts with: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
     /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
     private static final double OPEN = 1.008;
@@ -192,8 +192,7 @@
     /** A run is over: its mark is cleared, repeats that waited get the answer, and its place is free. */
     private Step ended(Work work, RunEnd end) {
         return server -> {
-            Duration now = server.now();
-            movedAt = now;
+            Duration now = movedAt = server.now();
             if (work.state == Work.State.CALLING) calls.ended(now, true);
             calls.parked.remove(work);
             forget(work);
@@ -737,7 +736,8 @@
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
-            return min(longest, span(seconds(max(ADVICE, wait.plus(delay))) * (0.25 + chance.nextDouble() / 2)));
+            double spread = 0.25 + chance.nextDouble() / 2;
+            return min(longest, span(seconds(max(ADVICE, wait.plus(delay))) * spread));
         }
 
         /** Opens slowly while little waits, closes quickly while much does. */
