--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -340,7 +340,7 @@
         dropped(server, work);
         signals.throttles.add(now, 1, 1);
         server.throttle(work.inv.id(), signals.advice(wait(now)),
-            !drain.noticed() && (last || signals.crowded(now)));
+            !drain.noticed() && (last || signals.crowded(now) && (work.inv.resent() || !signals.marked)));
         work.answered = true;
         forget(work);
     }
@@ -704,6 +704,7 @@
         private final Advert advert;
         private final double window;
         private final Duration longest;
+        private final boolean marked;
         private final SplittableRandom chance;
         private final Ring reads = new Ring(BUCKET, BUCKETS);
         private final Ring throttles = new Ring(BUCKET, BUCKETS);
@@ -713,7 +714,9 @@
         private boolean healthy = true;
         private boolean stalled;
 
-        public Signals(Advert advert, int callers, int cores, Duration longest, SplittableRandom chance) {
+        public Signals(Advert advert, int callers, int cores, Duration longest, boolean marked,
+                       SplittableRandom chance) {
+            this.marked = marked;
             this.advert = advert;
             this.window = WINDOW * cores / Math.max(1, callers);
             this.longest = longest;
