--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -44,7 +44,7 @@
     /** Room that one who waits needs before its goal: the expected run and so many of its spreads. */
     private static final double SPREADS = 1.1;
     /** Throttled share of what was read over which other servers are taken to be no better off. */
-    private static final double CROWDED = 0.3;
+    private static final double CROWDED = 0.15;
     /** Shortest wait that advice counts with: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
     /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
@@ -340,7 +340,7 @@
         dropped(server, work);
         signals.throttles.add(now, 1, 1);
         server.throttle(work.inv.id(), signals.advice(wait(now)),
-            !drain.noticed() && (last || signals.crowded(now) && (work.inv.resent() || !signals.marked)));
+            !drain.noticed() && (last || signals.crowded(now)));
         work.answered = true;
         forget(work);
     }
@@ -704,7 +704,6 @@
         private final Advert advert;
         private final double window;
         private final Duration longest;
-        private final boolean marked;
         private final SplittableRandom chance;
         private final Ring reads = new Ring(BUCKET, BUCKETS);
         private final Ring throttles = new Ring(BUCKET, BUCKETS);
@@ -714,9 +713,7 @@
         private boolean healthy = true;
         private boolean stalled;
 
-        public Signals(Advert advert, int callers, int cores, Duration longest, boolean marked,
-                       SplittableRandom chance) {
-            this.marked = marked;
+        public Signals(Advert advert, int callers, int cores, Duration longest, SplittableRandom chance) {
             this.advert = advert;
             this.window = WINDOW * cores / Math.max(1, callers);
             this.longest = longest;
--- a/src/main/java/ochretiller/sim/Settings.java
+++ b/src/main/java/ochretiller/sim/Settings.java
@@ -61,8 +61,7 @@
             new Choice.Drain(settings.span("guarantees.stopSendingWithinNs", Duration.ZERO)),
             new Choice.Signals(advert(settings), (int) settings.whole("familyInfo.callers", 1), cores,
                 settings.flag("permissions.retryAfter")
-                    ? settings.span("permissions.maxRetryAfterNs", Duration.ZERO) : Duration.ZERO,
-                settings.flag("clients.marksRetry"), chance));
+                    ? settings.span("permissions.maxRetryAfterNs", Duration.ZERO) : Duration.ZERO, chance));
     }
 
     private static Advert advert(Fields settings) {
