--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -52,7 +52,7 @@
     private static final double CLOSE = 0.98;
     private static final double SHUT = 0.02;
     /** Window, by core, that all callers together get at full openness. */
-    private static final double WINDOW = 3;
+    private static final double WINDOW = 6;
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.4;
     /** Time unread over which reading is jammed, as a share of the shortest objective; later where the
