Bound calls below by seconds in hand over the span; wake for what is due, not every 20 ms

Now what is due has a timer of its own, the beat is 100 ms, rings keep their sums, and the free value is said when it changes. Open: after the burst the ledger stays crowded.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -14,8 +14,8 @@
  * runs, calls and timers go to the continuations left there. docs/design.md tells why.
  */
 public final class Choice {
-    /** Beat of all that is checked over and over; a small part of a short objective, and cheap. */
-    private static final Duration BEAT = Duration.ofMillis(20);
+    /** Beat of what changes slowly; due times and objectives have timers of their own. */
+    private static final Duration BEAT = Duration.ofMillis(100);
     /** Lead of a last answer on its due time: some beats, and batches that come late. */
     private static final Duration LEAD = Duration.ofMillis(80);
     /** The way back to the client; an answer is aimed to leave so long before the objective. */
@@ -36,7 +36,9 @@
     private static final double MEMORY = 0.9;
     private static final double TOKENS = 0.4;
     /** Share of the calls below that this server's slice allows; a slice is what breaks what lies below. */
-    private static final double SLICE = 0.6;
+    private static final double SLICE = 0.8;
+    /** Patience of a call in mean times of late: fewer give up calls that would have ended well. */
+    private static final double PATIENT = 4;
     /** Started invocations waiting for a place at a call, by core: more only fill memory. */
     private static final int PARKED = 2;
     /** Expected work before anything was measured, as a share of the latency objective. */
@@ -48,8 +50,8 @@
     /** Shortest wait that advice counts with: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
     /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
-    private static final double OPEN = 1.008;
-    private static final double CLOSE = 0.98;
+    private static final double OPEN = 1.04;
+    private static final double CLOSE = 0.9;
     private static final double SHUT = 0.02;
     /** Window, by core, that all callers together get at full openness. */
     private static final double WINDOW = 6;
@@ -112,6 +114,18 @@
             }
             squeeze(server);
             fill(server);
+            server.after(max(min(goal(work), work.inv.due().minus(LEAD)).minus(server.now()), Duration.ZERO),
+                gauges -> look(work));
+        };
+    }
+
+    /** Looks at an invocation when its objective or its due time has come. */
+    private Step look(Work work) {
+        return server -> {
+            overdue(server, work, server.now());
+            fill(server);
+            if (work.answered || !works.containsKey(work.inv.id())) return;
+            server.after(max(work.inv.due().minus(LEAD).minus(server.now()), Duration.ZERO), gauges -> look(work));
         };
     }
 
@@ -166,7 +180,7 @@
         if (room <= 0 || hold.held.size() == 0) return;
         for (Work work : hold.ordered(now)) {
             if (room == 0 || !memory.room(work.inv.kb() * (memory.runFactor - 1), tokens.kb(now))) return;
-            if (!work.operation().calls() || calls.parked.size() < PARKED * limit.cores) {
+            if (!work.operation().calls() || calls.room(now)) {
                 hold.held.remove(work);
                 run(server, work);
                 room--;
@@ -193,7 +207,7 @@
     private Step ended(Work work, RunEnd end) {
         return server -> {
             Duration now = movedAt = server.now();
-            if (work.state == Work.State.CALLING) calls.ended(now, true);
+            if (work.state == Work.State.CALLING) calls.ended(work, now, true);
             calls.parked.remove(work);
             forget(work);
             boolean succeeded = end.result() == RunEnd.Result.SUCCEEDED;
@@ -228,15 +242,14 @@
         for (Work work = calls.next(now); work != null; work = calls.next(now)) {
             Work caller = work;
             caller.state = Work.State.CALLING;
-            Duration patience = max(caller.inv.due().minus(LEAD).minus(now), BEAT);
-            server.call(caller.inv.id(), patience, end -> called(caller, end));
+            server.call(caller.inv.id(), caller.patience, end -> called(caller, end));
         }
     }
 
     private Step called(Work work, CallEnd end) {
         return server -> {
             Duration now = server.now();
-            calls.ended(now, end.result() == CallEnd.Result.TIMED_OUT);
+            calls.ended(work, now, end.result() == CallEnd.Result.TIMED_OUT);
             if (end.result() == CallEnd.Result.SUCCEEDED) {
                 work.state = Work.State.RUNNING;
                 work.offCores = work.offCores.plus(now.minus(work.parkedAt));
@@ -285,19 +298,25 @@
     public Step leave(Duration kill) {
         return server -> {
             drain.notice(server.now(), kill);
+            server.after(max(kill.minus(LEAD).minus(server.now()), Duration.ZERO), gauges -> this::finish);
             server.health(false, true);
             signals.openness = 0;
             signals.say(server);
         };
     }
 
+    /** The last answers of a process that leaves. */
+    private void finish(Server server) {
+        for (Work work : new ArrayList<>(works.values())) overdue(server, work, server.now());
+    }
+
     private Step beat(Gauges gauges) {
         return server -> {
             Duration now = server.now();
             limit.observe(now, gauges, hold.held.size());
             signals.stalled = seconds(now.minus(movedAt)) > STALL * hold.longest(now, running());
             if (signals.stalled) signals.delay = max(signals.delay, now.minus(movedAt));
-            for (Work work : new ArrayList<>(works.values())) overdue(server, work, now);
+            finish(server);
             squeeze(server);
             pump(server);
             fill(server);
@@ -634,30 +653,55 @@
         }
     }
 
-    /** Calls below: how many are in hand at once, and who makes the next. */
+    /** Calls below: how long they were in hand over the span that counts, and who makes the next. */
     public static final class Calls {
-        private final double bound;
+        private final double budget;
         private final Duration linger;
+        private final int atOnce;
         private final ArrayDeque<Work> parked = new ArrayDeque<>();
-        private final ArrayDeque<Duration> lingering = new ArrayDeque<>();
+        private final Ring held;
+        private double reserved;
         private int inHand;
 
-        public Calls(double slice, int cores, Duration linger) {
-            this.bound = Math.max(1, Math.min(slice * SLICE, cores * 4.0));
+        public Calls(double slice, int cores, Duration linger, Duration span) {
+            this.budget = slice * SLICE * seconds(span);
             this.linger = linger;
+            this.atOnce = PARKED * cores;
+            this.held = new Ring(BUCKET, (int) span.dividedBy(BUCKET) + 1);
+        }
+
+        /** Seconds that one more call may take. Guards against many servers that each hold a little more
+         * than their slice: what a call in hand may yet take counts as taken, a call given up lingers. */
+        private double patience(Duration now) {
+            double left = budget - held.sum(now) - reserved;
+            return Math.min(left / 2, left - seconds(linger));
         }
 
-        /** The next to make its call, or null; a call given up lingers in the hands of what lies below. */
+        private boolean open(Duration now) {
+            return patience(now) > Math.min(PATIENT * held.mean(now, 0), budget / 4)
+                || inHand == 0 && held.sum(now) == 0; // a slice of nearly nothing still makes one call
+        }
+
+        /** Whether one that will call may start. */
+        boolean room(Duration now) { return parked.size() < (open(now) ? atOnce : 1); }
+
+        /** The next to make its call, or null. */
         Work next(Duration now) {
-            while (!lingering.isEmpty() && lingering.peek().compareTo(now) <= 0) lingering.poll();
-            if (parked.isEmpty() || inHand + lingering.size() + 1 > bound) return null;
+            if (parked.isEmpty() || inHand >= 2 * atOnce || !open(now)) return null;
+            Work work = parked.poll();
+            Duration rest = work.inv.due().minus(LEAD).minus(now);
+            work.patience = max(min(rest, span(patience(now))), BEAT);
+            work.calledAt = now;
+            reserved += seconds(work.patience);
             inHand++;
-            return parked.poll();
+            return work;
         }
 
-        void ended(Duration now, boolean givenUp) {
+        void ended(Work work, Duration now, boolean givenUp) {
+            Duration took = now.minus(work.calledAt);
             inHand--;
-            if (givenUp) lingering.add(now.plus(linger));
+            reserved -= seconds(work.patience);
+            held.add(now, seconds(givenUp ? took.plus(linger) : took), 1);
         }
     }
 
@@ -711,6 +755,7 @@
         private Duration delay = Duration.ZERO;
         private Duration readAt = Duration.ZERO;
         private boolean healthy = true;
+        private double said = 1;
         private boolean stalled;
 
         public Signals(Advert advert, int callers, int cores, Duration longest, SplittableRandom chance) {
@@ -757,7 +802,9 @@
 
         private void say(Server server) {
             if (advert == Advert.NONE) return;
+            if (openness == said) return;
             double scaled = advert == Advert.WINDOW ? openness * window : openness;
+            said = openness;
             server.advertise(advert == Advert.LEVEL ? 1 - openness : scaled);
         }
     }
--- a/src/main/java/ochretiller/Ring.java
+++ b/src/main/java/ochretiller/Ring.java
@@ -8,6 +8,8 @@
     private final Duration bucket;
     private final double[] sums;
     private final double[] weights;
+    private double sum;
+    private double weight;
     private long head;
 
     Ring(Duration bucket, int buckets) {
@@ -20,27 +22,31 @@
         int at = turn(now);
         sums[at] += x;
         weights[at] += weight;
+        sum += x;
+        this.weight += weight;
     }
 
     double sum(Duration now) {
         turn(now);
-        return Arrays.stream(sums).sum();
+        return sum;
     }
 
     double mean(Duration now, double unmeasured) {
         turn(now);
-        double weight = Arrays.stream(weights).sum();
-        return weight > 0 ? Arrays.stream(sums).sum() / weight : unmeasured;
+        return weight > 0 ? sum / weight : unmeasured;
     }
 
     /** Empties the buckets that time has passed, and tells the present one. */
     private int turn(Duration now) {
-        long to = Math.max(head, now.dividedBy(bucket));
+        long to = Math.max(head, now.toNanos() / bucket.toNanos());
+        if (to == head) return (int) (head % sums.length);
         for (long i = Math.max(head + 1, to - sums.length + 1); i <= to; i++) {
             sums[(int) (i % sums.length)] = 0;
             weights[(int) (i % sums.length)] = 0;
         }
         head = to;
+        sum = Arrays.stream(sums).sum();
+        weight = Arrays.stream(weights).sum();
         return (int) (head % sums.length);
     }
 }
--- a/src/main/java/ochretiller/Work.java
+++ b/src/main/java/ochretiller/Work.java
@@ -16,6 +16,9 @@
     boolean answered;
     Duration startedAt = Duration.ZERO;
     Duration parkedAt = Duration.ZERO;
+    /** When its call was made, and how long it may take. */
+    Duration calledAt = Duration.ZERO;
+    Duration patience = Duration.ZERO;
     /** Time spent at calls since it started. */
     Duration offCores = Duration.ZERO;
 
