--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -35,10 +35,9 @@
     /** Share of the memory that is used, since more may be read at any time, and that tokens may take. */
     private static final double MEMORY = 0.9;
     private static final double TOKENS = 0.4;
-    /** Share of the calls below that this server's slice allows; a slice is what breaks what lies below. */
-    private static final double SLICE = 0.8;
-    /** Patience of a call in mean times of late: fewer give up calls that would have ended well. */
-    private static final double PATIENT = 4;
+    /** Share of the calls below that this server's slice allows; a slice is what breaks what lies below. Two
+     * and a half times it may be in hand over one span: what was saved up, what comes in, and patience. */
+    private static final double SLICE = 0.3;
     /** Started invocations waiting for a place at a call, by core: more only fill memory. */
     private static final int PARKED = 2;
     /** Expected work before anything was measured, as a share of the latency objective. */
@@ -653,55 +652,63 @@
         }
     }
 
-    /** Calls below: how long they were in hand over the span that counts, and who makes the next. */
+    /** Calls below: how many seconds they may be in hand, and who makes the next. */
     public static final class Calls {
-        private final double budget;
+        private final double rate;
+        private final double full;
         private final Duration linger;
         private final int atOnce;
         private final ArrayDeque<Work> parked = new ArrayDeque<>();
-        private final Ring held;
+        private final Ring took = new Ring(BUCKET, BUCKETS);
+        private double level;
+        private Duration filledAt = Duration.ZERO;
         private double reserved;
+        private double starts;
         private int inHand;
 
         public Calls(double slice, int cores, Duration linger, Duration span) {
-            this.budget = slice * SLICE * seconds(span);
+            this.rate = slice * SLICE;
+            this.full = rate * seconds(span);
+            this.level = full;
             this.linger = linger;
             this.atOnce = PARKED * cores;
-            this.held = new Ring(BUCKET, (int) span.dividedBy(BUCKET) + 1);
         }
 
-        /** Seconds that one more call may take. Guards against many servers that each hold a little more
-         * than their slice: what a call in hand may yet take counts as taken, a call given up lingers. */
-        private double patience(Duration now) {
-            double left = budget - held.sum(now) - reserved;
-            return Math.min(left / 2, left - seconds(linger));
+        /** Seconds in hand that are left. Guards against many servers that each hold a little more than
+         * their slice: a bucket fills by the slice, so that calls that slow down become fewer at once. */
+        private double left(Duration now) {
+            level = Math.min(full, level + rate * seconds(now.minus(filledAt)));
+            filledAt = now;
+            return level - (inHand * seconds(now) - starts);
         }
 
-        private boolean open(Duration now) {
-            return patience(now) > Math.min(PATIENT * held.mean(now, 0), budget / 4)
-                || inHand == 0 && held.sum(now) == 0; // a slice of nearly nothing still makes one call
+        /** Whether one that will call may start: those that wait go first. */
+        boolean room(Duration now) {
+            return parked.isEmpty() || parked.size() < atOnce && left(now) > parked.size() * took.mean(now, 0);
         }
 
-        /** Whether one that will call may start. */
-        boolean room(Duration now) { return parked.size() < (open(now) ? atOnce : 1); }
-
         /** The next to make its call, or null. */
         Work next(Duration now) {
-            if (parked.isEmpty() || inHand >= 2 * atOnce || !open(now)) return null;
+            if (parked.isEmpty() || inHand >= 2 * atOnce || left(now) <= 0) return null;
+            double patience = (level + full / 2 - reserved) / 2; // even if all take so long, the span's sum holds
+            if (patience <= Math.min(took.mean(now, 0), full / 4)) return null;
             Work work = parked.poll();
             Duration rest = work.inv.due().minus(LEAD).minus(now);
-            work.patience = max(min(rest, span(patience(now))), BEAT);
+            work.patience = max(min(rest, span(patience)), BEAT);
             work.calledAt = now;
             reserved += seconds(work.patience);
+            starts += seconds(now);
             inHand++;
             return work;
         }
 
         void ended(Work work, Duration now, boolean givenUp) {
-            Duration took = now.minus(work.calledAt);
+            double held = seconds(now.minus(work.calledAt));
             inHand--;
+            starts -= seconds(work.calledAt);
             reserved -= seconds(work.patience);
-            held.add(now, seconds(givenUp ? took.plus(linger) : took), 1);
+            level -= givenUp ? held + seconds(linger) : held;
+            took.add(now, held, 1);
         }
     }
 
