--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -45,7 +45,7 @@
     /** Room that one who waits needs before its goal: the expected run and so many of its spreads. */
     private static final double SPREADS = 1.1;
     /** Throttled share of what was read over which other servers are taken to be no better off. */
-    private static final double CROWDED = 0.15;
+    private static final double CROWDED = 0.7;
     /** Shortest wait that advice counts with: about the time in which one run ends. */
     private static final Duration ADVICE = Duration.ofMillis(100);
     /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
@@ -784,7 +784,8 @@
             return seconds(delay) > seconds(objective) * (advert == Advert.NONE ? JAM : TOLD_JAM);
         }
 
-        boolean crowded(Duration now) { return throttles.sum(now) > CROWDED * reads.sum(now); }
+        /** The best guess of how others fare is how this server does. */
+        boolean crowded(Duration now) { return chance.nextDouble() * reads.sum(now) < throttles.sum(now); }
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
