Count marked further tries as throttles of others when asking callers to stay

Cause: in a storm each server sees only its own throttles; marked further tries tell how the others fare.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -102,7 +102,7 @@
             Work work = new Work(inv);
             works.put(inv.id(), work);
             memory.usedKb += inv.kb();
-            signals.read(server.now(), server.now().minus(inv.arrived()));
+            signals.read(server.now(), server.now().minus(inv.arrived()), inv.resent());
             work.worth = hold.worth(inv, server.now());
             Token token = inv.forerunner() == null ? null : tokens.entries.get(inv.forerunner());
             boolean repeats = inv.operation().tokened() && inv.forerunner() != null;
@@ -757,6 +757,7 @@
         private final Duration longest;
         private final SplittableRandom chance;
         private final Ring reads = new Ring(BUCKET, BUCKETS);
+        private final Ring further = new Ring(BUCKET, BUCKETS);
         private final Ring throttles = new Ring(BUCKET, BUCKETS);
         private double openness = 1;
         private Duration delay = Duration.ZERO;
@@ -772,8 +773,9 @@
             this.chance = chance;
         }
 
-        void read(Duration now, Duration age) {
+        void read(Duration now, Duration age, boolean resent) {
             reads.add(now, 1, 1);
+            if (resent) further.add(now, 1, 1);
             delay = age;
             readAt = now;
         }
@@ -784,8 +786,11 @@
             return seconds(delay) > seconds(objective) * (advert == Advert.NONE ? JAM : TOLD_JAM);
         }
 
-        /** The best guess of how others fare is how this server does. */
-        boolean crowded(Duration now) { return chance.nextDouble() * reads.sum(now) < throttles.sum(now); }
+        /** The best guess of how others fare is how this server does, and how many they sent on to here. */
+        boolean crowded(Duration now) {
+            double read = Math.max(1, reads.sum(now));
+            return chance.nextDouble() > (1 - throttles.sum(now) / read) * (1 - further.sum(now) / read);
+        }
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
