Jam only on two late readings in a row; throttle shares over three seconds

Cause: on two cores one reading shares its core with a run and counts 150 ms by itself, which set off the jam guard on quiet servers; and shares over ten seconds let a storm run before callers were asked to stay.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -23,6 +23,8 @@
     /** Bucket of the measuring rings, and how many: ten seconds follow a change yet hold enough ends. */
     private static final Duration BUCKET = Duration.ofMillis(500);
     private static final int BUCKETS = 20;
+    /** Buckets of what was read and throttled: three seconds see a storm come and hold a dozen reads. */
+    private static final int RECENT = 6;
     /** Window of the run limit's climb: some dozens of ends on a server of few cores. */
     private static final Duration CLIMB = Duration.ofMillis(500);
     /** Core use under which there is room for one more run, and over which the cores are busy; shares. */
@@ -60,6 +62,8 @@
      * free value keeps callers away first, without a throttle. */
     private static final double JAM = 0.2;
     private static final double TOLD_JAM = 0.5;
+    /** Readings in a row that must have been late: one alone may only share its core with runs. */
+    private static final int EVIDENCE = 2;
     /** The like over which health goes bad until the jam is gone: callers hear of advice too late. */
     private static final double DEEP_JAM = 1;
     /** No run has ended for so many times the longest that is expected of those that run: a stall. */
@@ -756,10 +760,12 @@
         private final double window;
         private final Duration longest;
         private final SplittableRandom chance;
-        private final Ring reads = new Ring(BUCKET, BUCKETS);
-        private final Ring further = new Ring(BUCKET, BUCKETS);
-        private final Ring throttles = new Ring(BUCKET, BUCKETS);
+        private final Ring reads = new Ring(BUCKET, RECENT);
+        private final Ring further = new Ring(BUCKET, RECENT);
+        private final Ring throttles = new Ring(BUCKET, RECENT);
         private double openness = 1;
+        private final Duration[] ages = new Duration[EVIDENCE];
+        private long readings;
         private Duration delay = Duration.ZERO;
         private Duration readAt = Duration.ZERO;
         private boolean healthy = true;
@@ -771,12 +777,14 @@
             this.window = WINDOW * cores / Math.max(1, callers);
             this.longest = longest;
             this.chance = chance;
+            Arrays.fill(ages, Duration.ZERO);
         }
 
         void read(Duration now, Duration age, boolean resent) {
             reads.add(now, 1, 1);
             if (resent) further.add(now, 1, 1);
-            delay = age;
+            ages[(int) (readings++ % ages.length)] = age;
+            delay = Arrays.stream(ages).min(Comparator.naturalOrder()).get();
             readAt = now;
         }
 
