Close silent connections sooner while many stand open; a throttle does not count for itself

Cause: with 825 gateways each server's table of connections was full, took a part of the cores and turned callers away unread; and one throttle among three reads asked its own caller to stay for no reason.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -68,6 +68,9 @@
     private static final double DEEP_JAM = 1;
     /** No run has ended for so many times the longest that is expected of those that run: a stall. */
     private static final double STALL = 3;
+    /** Open connections by core over which silent ones are closed sooner, and the shortest silence. */
+    private static final double LINKS = 8;
+    private static final Duration SILENCE = Duration.ofMillis(250);
     /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
     private static final double QUOTA_SLACK = 1.3;
 
@@ -324,6 +327,7 @@
             pump(server);
             fill(server);
             if (!drain.noticed()) signals.tell(server, wait(now), hold.shortest());
+            signals.links(server, gauges.connections());
             server.after(BEAT, this::beat);
         };
     }
@@ -360,9 +364,9 @@
     private void throttle(Server server, Work work, boolean last) {
         Duration now = server.now();
         dropped(server, work);
-        signals.throttles.add(now, 1, 1);
         server.throttle(work.inv.id(), signals.advice(wait(now)),
             !drain.noticed() && (last || signals.crowded(now)));
+        signals.throttles.add(now, 1, 1);
         work.answered = true;
         forget(work);
     }
@@ -763,6 +767,10 @@
         private final Ring reads = new Ring(BUCKET, RECENT);
         private final Ring further = new Ring(BUCKET, RECENT);
         private final Ring throttles = new Ring(BUCKET, RECENT);
+        private final int cores;
+        private final Duration longestIdle;
+        private Duration idle;
+        private Duration linksAt = Duration.ZERO;
         private double openness = 1;
         private final Duration[] ages = new Duration[EVIDENCE];
         private long readings;
@@ -772,8 +780,11 @@
         private double said = 1;
         private boolean stalled;
 
-        public Signals(Advert advert, int callers, int cores, Duration longest, SplittableRandom chance) {
+        public Signals(Advert advert, int callers, int cores, Duration longest, Duration longestIdle,
+                       SplittableRandom chance) {
             this.advert = advert;
+            this.cores = cores;
+            this.longestIdle = idle = longestIdle;
             this.window = WINDOW * cores / Math.max(1, callers);
             this.longest = longest;
             this.chance = chance;
@@ -821,6 +832,17 @@
             say(server);
         }
 
+        /** Guards against a full table, which turns callers away unread and takes a part of the cores: with
+         * many callers that seldom come back a kept connection is of no use to anyone. */
+        void links(Server server, double open) {
+            if (server.now().compareTo(linksAt) < 0) return;
+            linksAt = server.now().plus(BUCKET);
+            Duration before = idle;
+            if (open > LINKS * cores) idle = max(SILENCE, idle.dividedBy(2));
+            else if (open < LINKS * cores / 2) idle = min(longestIdle, idle.multipliedBy(2));
+            if (!idle.equals(before)) server.idleAfter(idle);
+        }
+
         private void say(Server server) {
             if (advert == Advert.NONE) return;
             if (openness == said) return;
