The run limit climbs on half a second of held work and falls on sixteen ends

Cause: on two cores idle moments and handfuls of ends moved the limit by chance up to four times the cores, where each run slows the others and the reading. Now the room must be seen while work is held back, and a fall is counted over enough ends.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -25,8 +25,9 @@
     private static final int BUCKETS = 20;
     /** Buckets of what was read and throttled: three seconds see a storm come and hold a dozen reads. */
     private static final int RECENT = 6;
-    /** Window of the run limit's climb: some dozens of ends on a server of few cores. */
+    /** Window of the run limit's climb, as long as the gauge looks back; ends that tell a fall from chance. */
     private static final Duration CLIMB = Duration.ofMillis(500);
+    private static final int ENOUGH = 16;
     /** Core use under which there is room for one more run, and over which the cores are busy; shares. */
     private static final double ROOM = 0.85;
     private static final double BUSY = 0.95;
@@ -218,7 +219,7 @@
             forget(work);
             boolean succeeded = end.result() == RunEnd.Result.SUCCEEDED;
             if (succeeded) {
-                limit.ends++;
+                limit.ended();
                 hold.measured(work.inv, end.took().minus(work.offCores), now);
             }
             Token token = tokens.mark(work.inv.id(), succeeded ? Token.State.SUCCEEDED : Token.State.LOST);
@@ -319,7 +320,7 @@
     private Step beat(Gauges gauges) {
         return server -> {
             Duration now = server.now();
-            limit.observe(now, gauges, hold.held.size());
+            limit.observe(now, gauges, hold.held.size() > 0 && running().size() >= limit.now(now));
             signals.stalled = seconds(now.minus(movedAt)) > STALL * hold.longest(now, running());
             if (signals.stalled) signals.delay = max(signals.delay, now.minus(movedAt));
             finish(server);
@@ -495,7 +496,9 @@
         private double limit;
         private double step = 1;
         private int ends;
-        private int lastEnds;
+        private double lastRate;
+        private Duration countedFrom = Duration.ZERO;
+        private Duration pressedAt = Duration.ZERO;
         private Duration windowEnd = CLIMB;
 
         public RunLimit(int cores, double fallMultiple, double coldShare, Duration coldFor, boolean canStop) {
@@ -514,16 +517,23 @@
             return (int) Math.max(cores, Math.min(limit, cores * (1 + (fallMultiple - 1) * speed) * CROWD));
         }
 
-        void observe(Duration now, Gauges gauges, int held) {
+        void ended() { ends++; }
+
+        /** On each beat; {@code pressed} while the limit alone keeps work in the hold. */
+        void observe(Duration now, Gauges gauges, boolean pressed) {
+            if (!pressed) pressedAt = now;
             if (now.compareTo(windowEnd) < 0) return;
-            boolean climbs = held > 0 && gauges.coreUse() < ROOM;
-            boolean falls = gauges.coreUse() > BUSY && ends < lastEnds * (1 - FELL);
+            // The gauge looks back: room seen over a time in which less ran than may is no room for more.
+            boolean climbs = now.minus(pressedAt).compareTo(CLIMB) >= 0 && gauges.coreUse() < ROOM;
             if (climbs) limit = Math.min(limit + step, cores * fallMultiple);
-            else if (falls) limit = Math.max(cores, limit - 1);
             step = climbs ? step * 2 : 1;
-            lastEnds = ends;
-            ends = 0;
             windowEnd = now.plus(CLIMB);
+            if (ends < ENOUGH) return;
+            double rate = ends / seconds(now.minus(countedFrom));
+            if (gauges.coreUse() > BUSY && rate < lastRate * (1 - FELL)) limit = Math.max(cores, limit - 1);
+            lastRate = rate;
+            ends = 0;
+            countedFrom = now;
         }
     }
 
--- a/src/test/java/ochretiller/ChoiceTest.java
+++ b/src/test/java/ochretiller/ChoiceTest.java
@@ -181,20 +181,33 @@
         assertThat(server.arrive(2, READ, null)).isEmpty();
     }
 
+    /** Half a second and more on that limit, all of it with work held back. */
+    private static void press(Choice.RunLimit limit, int from, int to, double coreUse) {
+        for (int i = from; i <= to; i++) {
+            limit.observe(Duration.ofMillis(500L * i), new Gauges(coreUse, 6, 0.2, 1), true);
+        }
+    }
+
     @Test
     void runLimitStartsAtTheCoresAndClimbsByDoubling() {
         Choice.RunLimit limit = new Choice.RunLimit(6, 8, 1, Duration.ZERO, true);
-        Gauges idle = new Gauges(0.5, 6, 0.2, 1);
         assertThat(limit.now(Duration.ZERO)).isEqualTo(6);
-        limit.observe(SECOND, idle, 3);
-        limit.observe(SECOND.multipliedBy(2), idle, 3);
-        assertThat(limit.now(SECOND.multipliedBy(2))).isEqualTo(9);
+        press(limit, 1, 2, 0.5);
+        assertThat(limit.now(SECOND)).isEqualTo(9);
+    }
+
+    @Test
+    void runLimitDoesNotClimbOnRoomSeenWhileLessRanThanMay() {
+        Choice.RunLimit limit = new Choice.RunLimit(6, 8, 1, Duration.ZERO, true);
+        limit.observe(Duration.ofMillis(400), new Gauges(0.5, 6, 0.2, 1), false);
+        limit.observe(Duration.ofMillis(500), new Gauges(0.5, 6, 0.2, 1), true);
+        assertThat(limit.now(SECOND)).isEqualTo(6);
     }
 
     @Test
     void runLimitStaysUnderTheCrowdThatAColdServerSurvives() {
         Choice.RunLimit limit = new Choice.RunLimit(6, 8, 0.2, SECOND.multipliedBy(10), true);
-        for (int i = 1; i <= 8; i++) limit.observe(SECOND.multipliedBy(i), new Gauges(0.5, 6, 0.2, 1), 3);
+        press(limit, 1, 9, 0.5);
         assertThat(limit.now(Duration.ZERO)).isLessThan((int) (6 * (1 + 7 * 0.2)));
         assertThat(limit.now(SECOND.multipliedBy(10))).isLessThan(48);
     }
@@ -202,9 +215,13 @@
     @Test
     void runLimitStepsBackOnlyWhenCompletionsFallOnBusyCores() {
         Choice.RunLimit limit = new Choice.RunLimit(6, 8, 1, Duration.ZERO, true);
-        limit.observe(SECOND, new Gauges(0.5, 6, 0.2, 1), 3);
-        limit.observe(SECOND.multipliedBy(2), new Gauges(0.99, 7, 0.2, 1), 3);
-        assertThat(limit.now(SECOND.multipliedBy(2))).isEqualTo(7);
+        press(limit, 1, 1, 0.5);
+        for (int i = 0; i < 20; i++) limit.ended();
+        press(limit, 2, 2, 0.99);
+        assertThat(limit.now(SECOND)).isEqualTo(7);
+        for (int i = 0; i < 16; i++) limit.ended();
+        press(limit, 5, 5, 0.99);
+        assertThat(limit.now(SECOND)).isEqualTo(6);
     }
 
     @Test
