A tenant is over its quota by one deviation of chance; marked further tries not counted

Cause: an even part of a quota is one or two invocations a second, where a fixed factor of 1.3 is passed by chance, and tries that walk on were counted again by each server.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -72,8 +72,8 @@
     /** Open connections by core over which silent ones are closed sooner, and the shortest silence. */
     private static final double LINKS = 8;
     private static final Duration SILENCE = Duration.ofMillis(250);
-    /** What a tenant may send beyond its even part of its quota: the picks of callers are uneven. */
-    private static final double QUOTA_SLACK = 1.3;
+    /** What a tenant may send beyond its even part of its quota, in deviations that chance alone makes. */
+    private static final double CHANCE = 1;
 
     private final TokenTable tokens;
     private final RunLimit limit;
@@ -560,9 +560,9 @@
             if (!tenants.containsKey(inv.tenant())) return 1;
             Ring ring = sent.computeIfAbsent(inv.tenant(), t -> new Ring(BUCKET, BUCKETS));
             double span = Math.min(seconds(now), seconds(BUCKET) * BUCKETS);
-            double quota = tenants.get(inv.tenant()).quota() / Math.max(1, peers) * QUOTA_SLACK;
-            if (span > 1 && ring.sum(now) / span > quota) return overShareWorth;
-            ring.add(now, 1, 1);
+            double due = tenants.get(inv.tenant()).quota() / Math.max(1, peers) * span;
+            if (span > 1 && ring.sum(now) > due + CHANCE * Math.sqrt(due)) return overShareWorth;
+            ring.add(now, inv.resent() ? 0 : 1, 1); // a marked further try was counted elsewhere
             return 1;
         }
 
@@ -817,10 +817,13 @@
 
         /** The best guess of how others fare is how this server does, and how many they sent on to here. */
         boolean crowded(Duration now) {
-            double read = Math.max(1, reads.sum(now));
-            return chance.nextDouble() > (1 - throttles.sum(now) / read) * (1 - further.sum(now) / read);
+            double sentOn = further.sum(now) / Math.max(1, reads.sum(now));
+            return chance.nextDouble() > (1 - throttled(now)) * (1 - sentOn);
         }
 
+        /** Share of what was read of late that was throttled. */
+        double throttled(Duration now) { return throttles.sum(now) / Math.max(1, reads.sum(now)); }
+
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
             double spread = 0.25 + chance.nextDouble() / 2;
