Health goes bad only in a much deeper jam

Cause: several servers of two cores pass one objective unread at a time, go bad together and flood the rest.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -65,8 +65,9 @@
     private static final double TOLD_JAM = 0.5;
     /** Readings in a row that must have been late: one alone may only share its core with runs. */
     private static final int EVIDENCE = 2;
-    /** The like over which health goes bad until the jam is gone: callers hear of advice too late. */
-    private static final double DEEP_JAM = 1;
+    /** The like over which health goes bad until the jam is gone: longer than callers wait for one try, and
+     * rare, since what one server is spared the others get. */
+    private static final double DEEP_JAM = 3;
     /** No run has ended for so many times the longest that is expected of those that run: a stall. */
     private static final double STALL = 3;
     /** Open connections by core over which silent ones are closed sooner, and the shortest silence. */
