--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -1,5 +1,7 @@
 package ochretiller;
 
+import static ochretiller.Spans.*;
+
 import java.time.Duration;
 import java.util.*;
 import ochretiller.model.*;
@@ -20,26 +22,22 @@
     private static final Duration LEAD = Duration.ofMillis(80);
     /** The way back to the client; an answer is aimed to leave so long before the objective. */
     private static final Duration WAY_BACK = Duration.ofMillis(30);
-    /** Bucket of the measuring rings, and how many: ten seconds follow a change yet hold enough ends. */
+    /** Bucket of the rings, as long as the gauges look back; ten seconds of them hold enough ends. */
     private static final Duration BUCKET = Duration.ofMillis(500);
     private static final int BUCKETS = 20;
-    /** Buckets of what was read and throttled: three seconds see a storm come and hold a dozen reads. */
+    /** Buckets of what was read and throttled: three seconds see a storm come and hold a dozen. */
     private static final int RECENT = 6;
-    /** Window of the run limit's climb, as long as the gauge looks back; ends that tell a fall from chance. */
-    private static final Duration CLIMB = Duration.ofMillis(500);
+    /** Ends that tell a fall of completions from chance, and how far they must fall; a share. */
     private static final int ENOUGH = 16;
-    /** Core use under which there is room for one more run, and over which the cores are busy; shares. */
-    private static final double ROOM = 0.85;
-    private static final double BUSY = 0.95;
-    /** Fall of completions between windows that is more than chance; share. */
     private static final double FELL = 0.15;
+    /** Core use under which there is room for one more run, and over which the cores are busy; share. */
+    private static final double ROOM = 0.85;
     /** Share of the crowd that a server survives which the run limit may reach: resumed calls come on top. */
     private static final double CROWD = 0.6;
     /** Share of the memory that is used, since more may be read at any time, and that tokens may take. */
     private static final double MEMORY = 0.9;
     private static final double TOKENS = 0.4;
-    /** Share of the calls below that this server's slice allows; a slice is what breaks what lies below. Two
-     * and a half times it may be in hand over one span: what was saved up, what comes in, and patience. */
+    /** Share of its slice by which this server's calls fill up again; two and a half times it is the most. */
     private static final double SLICE = 0.3;
     /** Started invocations waiting for a place at a call, by core: more only fill memory. */
     private static final int PARKED = 2;
@@ -47,10 +45,6 @@
     private static final double UNKNOWN_WORK = 0.2;
     /** Room that one who waits needs before its goal: the expected run and so many of its spreads. */
     private static final double SPREADS = 1.1;
-    /** Throttled share of what was read over which other servers are taken to be no better off. */
-    private static final double CROWDED = 0.7;
-    /** Shortest wait that advice counts with: about the time in which one run ends. */
-    private static final Duration ADVICE = Duration.ofMillis(100);
     /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
     private static final double OPEN = 1.04;
     private static final double CLOSE = 0.9;
@@ -59,20 +53,14 @@
     private static final double WINDOW = 6;
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.4;
-    /** Time unread over which reading is jammed, as a share of the shortest objective; later where the
-     * free value keeps callers away first, without a throttle. */
-    private static final double JAM = 0.2;
-    private static final double TOLD_JAM = 0.5;
-    /** Readings in a row that must have been late: one alone may only share its core with runs. */
-    private static final int EVIDENCE = 2;
-    /** The like over which health goes bad until the jam is gone: longer than callers wait for one try, and
-     * rare, since what one server is spared the others get. */
+    /** Time unread over which reading is jammed, as a share of the shortest objective. */
+    private static final double JAM = 0.3;
+    /** The like over which health goes bad: rare, since what one server is spared the others get. */
     private static final double DEEP_JAM = 3;
     /** No run has ended for so many times the longest that is expected of those that run: a stall. */
     private static final double STALL = 3;
-    /** Open connections by core over which silent ones are closed sooner, and the shortest silence. */
+    /** Open connections by core over which silent ones are closed sooner. */
     private static final double LINKS = 8;
-    private static final Duration SILENCE = Duration.ofMillis(250);
     /** What a tenant may send beyond its even part of its quota, in deviations that chance alone makes. */
     private static final double CHANCE = 1;
 
@@ -122,25 +110,17 @@
             }
             squeeze(server);
             fill(server);
-            server.after(max(min(goal(work), work.inv.due().minus(LEAD)).minus(server.now()), Duration.ZERO),
-                gauges -> look(work));
-        };
-    }
-
-    /** Looks at an invocation when its objective or its due time has come. */
-    private Step look(Work work) {
-        return server -> {
-            overdue(server, work, server.now());
-            fill(server);
-            if (work.answered || !works.containsKey(work.inv.id())) return;
-            server.after(max(work.inv.due().minus(LEAD).minus(server.now()), Duration.ZERO), gauges -> look(work));
+            for (Duration at : List.of(goal(work), inv.due().minus(LEAD))) {
+                server.after(until(at, server.now()), gauges -> then -> overdue(then, work));
+            }
         };
     }
 
     /** A repeat of a kept try: it replays the answer, or waits for the mark to clear, and never runs. */
     private void repeat(Server server, Work work, Token token) {
         if (token == null || token.state == Token.State.SUCCEEDED) {
-            replay(server, work); // an unknown forerunner may have run: there is its answer, or an error
+            work.state = Work.State.REPLAYING; // an unknown forerunner may have run: its answer, or an error
+            server.replay(work.inv.id(), end -> then -> forget(work));
         } else if (token.state == Token.State.LOST) {
             fail(server, work); // guards against a second effect: what failed may have done its work
         } else {
@@ -171,13 +151,13 @@
 
     /** Gives up what cannot end in time any more, or has no room; who has most in the hold loses first. */
     private void squeeze(Server server) {
-        for (Work late : hold.squeeze(server.now(), limit.now(server.now()), running())) {
-            throttle(server, late, server.now().compareTo(goal(late)) > 0);
-        }
-        while (!memory.room(0, tokens.kb(server.now())) && hold.held.size() > 0) {
-            Work loser = hold.loser(hold.ordered(server.now())); // guards against the death by memory
+        while (hold.held.size() > 0) {
+            Duration now = server.now();
+            Work loser = hold.misfit(now, limit.now(now), running());
+            if (loser == null && memory.room(0, tokens.kb(now))) return;
+            if (loser == null) loser = hold.loser(hold.ordered(now)); // guards against the death by memory
             hold.held.remove(loser);
-            throttle(server, loser, false);
+            throttle(server, loser, now.compareTo(goal(loser)) > 0);
         }
     }
 
@@ -206,11 +186,6 @@
         server.run(work.inv.id(), end -> ended(work, end));
     }
 
-    private void replay(Server server, Work work) {
-        work.state = Work.State.REPLAYING;
-        server.replay(work.inv.id(), end -> then -> forget(work));
-    }
-
     /** A run is over: its mark is cleared, repeats that waited get the answer, and its place is free. */
     private Step ended(Work work, RunEnd end) {
         return server -> {
@@ -244,7 +219,6 @@
         };
     }
 
-    /** Makes the calls that the bound allows. */
     private void pump(Server server) {
         Duration now = server.now();
         for (Work work = calls.next(now); work != null; work = calls.next(now)) {
@@ -258,21 +232,14 @@
         return server -> {
             Duration now = server.now();
             calls.ended(work, now, end.result() == CallEnd.Result.TIMED_OUT);
-            if (end.result() == CallEnd.Result.SUCCEEDED) {
-                work.state = Work.State.RUNNING;
-                work.offCores = work.offCores.plus(now.minus(work.parkedAt));
-                pump(server);
-                return;
-            }
-            work.state = Work.State.PARKED;
-            if (!work.answered && end.result().neverRan()) {
-                server.after(BEAT, gauges -> blocked(work.inv.id()));
-            } else if (!work.answered && work.operation().degradedShare() > 0) {
-                work.state = Work.State.RUNNING;
-                server.skipCall(work.inv.id());
-            } else if (!work.answered) {
-                fail(server, work); // a call that may have run is never made again
-            }
+            boolean succeeded = end.result() == CallEnd.Result.SUCCEEDED;
+            boolean again = end.result().neverRan(); // a call that may have run is never made again
+            boolean skips = !succeeded && !again && !work.answered && work.operation().degradedShare() > 0;
+            work.state = succeeded || skips ? Work.State.RUNNING : Work.State.PARKED;
+            if (succeeded) work.offCores = work.offCores.plus(now.minus(work.parkedAt));
+            else if (skips) server.skipCall(work.inv.id());
+            else if (again) server.after(BEAT, gauges -> blocked(work.inv.id()));
+            else if (!work.answered) fail(server, work);
             pump(server);
         };
     }
@@ -297,7 +264,7 @@
         };
     }
 
-    /** Stops work that nobody waits for; a tokened run goes on, since its repeat can be answered from it. */
+    /** Stops what nobody waits for; a tokened run goes on, since its repeat can be answered from it. */
     private void stopUnwanted(Server server, Work work) {
         if (limit.canStop && work.operation().idempotent()) server.stop(work.inv.id());
     }
@@ -306,25 +273,21 @@
     public Step leave(Duration kill) {
         return server -> {
             drain.notice(server.now(), kill);
-            server.after(max(kill.minus(LEAD).minus(server.now()), Duration.ZERO), gauges -> this::finish);
+            server.after(until(kill.minus(LEAD), server.now()), gauges -> this::answerDue);
             server.health(false, true);
             signals.openness = 0;
             signals.say(server);
         };
     }
 
-    /** The last answers of a process that leaves. */
-    private void finish(Server server) {
-        for (Work work : new ArrayList<>(works.values())) overdue(server, work, server.now());
-    }
-
     private Step beat(Gauges gauges) {
         return server -> {
             Duration now = server.now();
             limit.observe(now, gauges, hold.held.size() > 0 && running().size() >= limit.now(now));
-            signals.stalled = seconds(now.minus(movedAt)) > STALL * hold.longest(now, running());
+            double longest = running().stream().mapToDouble(w -> hold.expected(w.inv, now)).max().orElse(1e9);
+            signals.stalled = seconds(now.minus(movedAt)) > STALL * longest;
             if (signals.stalled) signals.delay = max(signals.delay, now.minus(movedAt));
-            finish(server);
+            answerDue(server);
             squeeze(server);
             pump(server);
             fill(server);
@@ -334,8 +297,11 @@
         };
     }
 
+    private void answerDue(Server server) { new ArrayList<>(works.values()).forEach(w -> overdue(server, w)); }
+
     /** Answers in time, whatever still runs: the due time, and the kill of a process that leaves. */
-    private void overdue(Server server, Work work, Duration now) {
+    private void overdue(Server server, Work work) {
+        Duration now = server.now();
         if (work.answered || !works.containsKey(work.inv.id())) return;
         boolean due = now.compareTo(min(work.inv.due(), drain.kill).minus(LEAD)) >= 0;
         boolean lost = work.ran && work.operation().idempotent() && work.operation().lateShare() == 0
@@ -360,6 +326,7 @@
             server.throttle(work.inv.id(), signals.advice(wait(now)), true);
             stopUnwanted(server, work);
         }
+        fill(server);
     }
 
     /** Turns away what never ran; {@code last} where no other server could be in time. */
@@ -395,7 +362,6 @@
         }
     }
 
-    /** It is over, and its memory is back. */
     private void forget(Work work) {
         if (works.remove(work.inv.id()) != null) memory.release(work.inv.kb(), work.ran);
     }
@@ -411,39 +377,9 @@
         return min(work.inv.arrived().plus(work.operation().objective()), work.inv.due()).minus(WAY_BACK);
     }
 
-    private static Duration min(Duration a, Duration b) { return a.compareTo(b) < 0 ? a : b; }
-
-    private static Duration max(Duration a, Duration b) { return a.compareTo(b) > 0 ? a : b; }
-
-    private static double seconds(Duration span) { return span.toNanos() / 1e9; }
-
-    private static Duration span(double s) { return Duration.ofNanos((long) (Math.min(s, 1e6) * 1e9)); }
-
-    /** The entry of one tokened try: the mark, and the repeats that wait for it. */
-    static final class Token {
-        enum State { UNRUN, RUNNING, SUCCEEDED, LOST, DROPPED }
-
-        final InvId id;
-        final Duration expires;
-        State state = State.UNRUN;
-        List<Work> waiting = new ArrayList<>();
-
-        Token(InvId id, Duration expires) {
-            this.id = id;
-            this.expires = expires;
-        }
-
-        List<Work> release() {
-            List<Work> released = waiting;
-            waiting = new ArrayList<>();
-            return released;
-        }
-    }
-
     /** The table of tokened tries: a repeat is known by its tie to a kept one. */
     public static final class TokenTable {
-        private final double entryKb;
-        private final double shareKb;
+        private final double entryKb, shareKb;
         private final Map<InvId, Token> entries = new HashMap<>();
         private final PriorityQueue<Token> live = new PriorityQueue<>(Comparator.comparing(t -> t.expires));
         private final ArrayDeque<Token> order = new ArrayDeque<>();
@@ -463,8 +399,8 @@
 
         void open(Invocation inv, Duration now) {
             // A repeat may be read long after it came: an entry is known for one more client timeout.
-            Duration longest = inv.operation().clientTimeout();
-            while (!order.isEmpty() && now.compareTo(order.peek().expires.plus(longest)) > 0) {
+            Duration known = now.minus(inv.operation().clientTimeout());
+            while (!order.isEmpty() && after(known, order.peek().expires)) {
                 Token old = order.poll();
                 entries.remove(old.id, old); // a dropped try that came in again has a later entry
             }
@@ -475,9 +411,7 @@
         }
 
         Token mark(InvId id, Token.State state) {
-            Token token = entries.get(id);
-            if (token != null) token.state = state;
-            return token;
+            return entries.computeIfPresent(id, (same, token) -> token.to(state));
         }
 
         void leave(Work work) {
@@ -490,17 +424,12 @@
     /** How many run at once: climbed on throughput, never under the cores, and under the crowd that kills. */
     public static final class RunLimit {
         private final int cores;
-        private final double fallMultiple;
-        private final double coldShare;
+        private final double fallMultiple, coldShare;
         private final Duration coldFor;
         private final boolean canStop;
-        private double limit;
-        private double step = 1;
+        private double limit, step = 1, lastRate;
         private int ends;
-        private double lastRate;
-        private Duration countedFrom = Duration.ZERO;
-        private Duration pressedAt = Duration.ZERO;
-        private Duration windowEnd = CLIMB;
+        private Duration countedFrom = Duration.ZERO, pressedAt = Duration.ZERO, windowEnd = BUCKET;
 
         public RunLimit(int cores, double fallMultiple, double coldShare, Duration coldFor, boolean canStop) {
             this.cores = cores;
@@ -524,14 +453,14 @@
         void observe(Duration now, Gauges gauges, boolean pressed) {
             if (!pressed) pressedAt = now;
             if (now.compareTo(windowEnd) < 0) return;
-            // The gauge looks back: room seen over a time in which less ran than may is no room for more.
-            boolean climbs = now.minus(pressedAt).compareTo(CLIMB) >= 0 && gauges.coreUse() < ROOM;
+            // Room that the gauge saw while less ran than may is no room for more.
+            boolean climbs = now.minus(pressedAt).compareTo(BUCKET) >= 0 && gauges.coreUse() < ROOM;
             if (climbs) limit = Math.min(limit + step, cores * fallMultiple);
             step = climbs ? step * 2 : 1;
-            windowEnd = now.plus(CLIMB);
+            windowEnd = now.plus(BUCKET);
             if (ends < ENOUGH) return;
             double rate = ends / seconds(now.minus(countedFrom));
-            if (gauges.coreUse() > BUSY && rate < lastRate * (1 - FELL)) limit = Math.max(cores, limit - 1);
+            if (gauges.coreUse() > ROOM && rate < lastRate * (1 - FELL)) limit = Math.max(cores, limit - 1);
             lastRate = rate;
             ends = 0;
             countedFrom = now;
@@ -586,15 +515,15 @@
             return ring == null ? guess(inv) : guess(inv) * ring.mean(now, 1);
         }
 
+        private double rate(Work work, Duration now) {
+            double value = work.operation().value() * work.worth;
+            return byWork ? value : value / Math.max(1e-6, expected(work.inv, now));
+        }
+
         /** Billed value over expected work, and the oldest first. */
         List<Work> ordered(Duration now) {
-            Map<Work, Double> rates = new HashMap<>();
-            for (Work work : held) {
-                double value = work.operation().value() * work.worth;
-                rates.put(work, byWork ? value : value / Math.max(1e-6, expected(work.inv, now)));
-            }
             List<Work> ordered = new ArrayList<>(held);
-            ordered.sort(Comparator.<Work>comparingDouble(w -> -rates.get(w))
+            ordered.sort(Comparator.<Work>comparingDouble(w -> -rate(w, now))
                 .thenComparing(w -> w.inv.arrived()).thenComparing(w -> w.inv.id().value()));
             return ordered;
         }
@@ -609,11 +538,6 @@
             return left / 2;
         }
 
-        /** The longest expected run of those; no end for some times as long is a stall. */
-        double longest(Duration now, List<Work> running) {
-            return running.stream().mapToDouble(w -> expected(w.inv, now)).max().orElse(Double.MAX_VALUE);
-        }
-
         /** Time until what comes last would start. */
         Duration wait(Duration now, int limit, List<Work> running) {
             double ahead = running.size() < limit ? 0 : runsLeft(now, running);
@@ -621,51 +545,41 @@
             return span(ahead / limit);
         }
 
-        /** Takes out what has to go so that all that stays is expected to end within its objective. */
-        List<Work> squeeze(Duration now, int limit, List<Work> running) {
-            List<Work> losers = new ArrayList<>();
+        /** What has to go so that all that stays is expected to end within its objective, or null. */
+        Work misfit(Duration now, int limit, List<Work> running) {
             List<Work> ordered = ordered(now);
             double first = running.size() < limit ? 0 : runsLeft(now, running);
             double ahead = first;
-            // What fits by its mean alone misses half the time; good hints leave little spread. A free
-            // place is taken all the same, since nothing else would use it.
+            // What fits by its mean alone misses half the time. A free place is taken all the same.
             double fit = 1 + SPREADS * Math.sqrt(spreads.mean(now, 0));
-            for (int i = 0; i < ordered.size(); i++) {
-                Work work = ordered.get(i);
+            for (Work work : ordered) {
                 double expected = expected(work.inv, now);
                 double needed = ahead / limit + expected * (ahead == 0 ? 1 : fit);
                 if (now.plus(span(needed)).compareTo(goal(work)) > 0) {
-                    Work loser = ahead == first ? work : loser(ordered.subList(0, i + 1));
-                    ordered.remove(loser);
-                    held.remove(loser);
-                    losers.add(loser);
-                    ahead = first;
-                    i = -1;
-                } else {
-                    ahead += expected;
+                    return ahead == first ? work : loser(ordered.subList(0, ordered.indexOf(work) + 1));
                 }
+                ahead += expected;
             }
-            return losers;
+            return null;
         }
 
         /** Whoever has most in the hold, for its share, loses the place of its least urgent. */
         Work loser(List<Work> ordered) {
             Map<Object, Double> counts = new HashMap<>();
-            for (Work work : held) {
-                Tenant tenant = tenants.get(work.inv.tenant());
-                counts.merge(group(work), tenant == null ? 1 : 1 / tenant.share(), Double::sum);
-            }
-            Work loser = null;
+            for (Work work : held) counts.merge(group(work), 1 / share(work), Double::sum);
+            Work loser = ordered.get(0);
             for (Work work : ordered) {
-                if (loser == null || counts.get(group(work)) >= counts.get(group(loser))) loser = work;
+                if (counts.get(group(work)) >= counts.get(group(loser))) loser = work;
             }
             return loser;
         }
 
-        private static Object group(Work w) {
-            return w.inv.tenant() != null ? w.inv.tenant() : w.inv.caller();
+        private double share(Work work) {
+            return tenants.containsKey(work.inv.tenant()) ? tenants.get(work.inv.tenant()).share() : 1;
         }
 
+        private Object group(Work w) { return w.inv.tenant() != null ? w.inv.tenant() : w.inv.caller(); }
+
         Duration shortest() {
             return taken.keySet().stream().map(Operation::objective).sorted().findFirst().orElse(BUCKET);
         }
@@ -673,16 +587,13 @@
 
     /** Calls below: how many seconds they may be in hand, and who makes the next. */
     public static final class Calls {
-        private final double rate;
-        private final double full;
+        private final double rate, full;
         private final Duration linger;
         private final int atOnce;
         private final ArrayDeque<Work> parked = new ArrayDeque<>();
         private final Ring took = new Ring(BUCKET, BUCKETS);
-        private double level;
+        private double level, starts;
         private Duration filledAt = Duration.ZERO;
-        private double reserved;
-        private double starts;
         private int inHand;
 
         public Calls(double slice, int cores, Duration linger, Duration span) {
@@ -693,8 +604,7 @@
             this.atOnce = PARKED * cores;
         }
 
-        /** Seconds in hand that are left. Guards against many servers that each hold a little more than
-         * their slice: a bucket fills by the slice, so that calls that slow down become fewer at once. */
+        /** Seconds in hand that are left. Guards against many servers that each hold a little too much. */
         private double left(Duration now) {
             level = Math.min(full, level + rate * seconds(now.minus(filledAt)));
             filledAt = now;
@@ -703,19 +613,19 @@
 
         /** Whether one that will call may start: those that wait go first. */
         boolean room(Duration now) {
-            return parked.isEmpty() || parked.size() < atOnce && left(now) > parked.size() * took.mean(now, 0);
+            return parked.size() < (left(now) > parked.size() * took.mean(now, 0) ? atOnce : 1);
         }
 
         /** The next to make its call, or null. */
         Work next(Duration now) {
             if (parked.isEmpty() || inHand >= 2 * atOnce || left(now) <= 0) return null;
-            double patience = (level + full / 2 - reserved) / 2; // even if all take so long, the span's sum holds
+            // Even if all in hand take so long, the span's sum holds.
+            double patience = (left(now) + full / 2) / 2 / (1 + inHand);
             if (patience <= Math.min(took.mean(now, 0), full / 4)) return null;
             Work work = parked.poll();
             Duration rest = work.inv.due().minus(LEAD).minus(now);
             work.patience = max(min(rest, span(patience)), BEAT);
             work.calledAt = now;
-            reserved += seconds(work.patience);
             starts += seconds(now);
             inHand++;
             return work;
@@ -725,7 +635,6 @@
             double held = seconds(now.minus(work.calledAt));
             inHand--;
             starts -= seconds(work.calledAt);
-            reserved -= seconds(work.patience);
             level -= givenUp ? held + seconds(linger) : held;
             took.add(now, held, 1);
         }
@@ -733,8 +642,7 @@
 
     /** Memory of held and running invocations and kept tokens. */
     public static final class Memory {
-        private final double limitKb;
-        private final double runFactor;
+        private final double limitKb, runFactor;
         private double usedKb;
 
         public Memory(double memoryKb, double runFactor) {
@@ -752,8 +660,7 @@
     public static final class Drain {
         private static final Duration NEVER = Duration.ofDays(10_000);
         private final Duration grace;
-        private Duration lastRun = NEVER;
-        private Duration kill = NEVER;
+        private Duration lastRun = NEVER, kill = NEVER;
 
         public Drain(Duration grace) { this.grace = grace; }
 
@@ -772,24 +679,17 @@
     /** What callers are told: when to return, whether to try elsewhere, and how open the server is. */
     public static final class Signals {
         private final Advert advert;
+        private final int cores;
         private final double window;
-        private final Duration longest;
+        private final Duration longest, longestIdle;
         private final SplittableRandom chance;
         private final Ring reads = new Ring(BUCKET, RECENT);
         private final Ring further = new Ring(BUCKET, RECENT);
         private final Ring throttles = new Ring(BUCKET, RECENT);
-        private final int cores;
-        private final Duration longestIdle;
-        private Duration idle;
-        private Duration linksAt = Duration.ZERO;
-        private double openness = 1;
-        private final Duration[] ages = new Duration[EVIDENCE];
-        private long readings;
-        private Duration delay = Duration.ZERO;
-        private Duration readAt = Duration.ZERO;
-        private boolean healthy = true;
-        private double said = 1;
-        private boolean stalled;
+        private double openness = 1, said = 1;
+        private Duration delay = Duration.ZERO, lastAge = Duration.ZERO, readAt = Duration.ZERO;
+        private Duration idle, linksAt = Duration.ZERO;
+        private boolean healthy = true, stalled;
 
         public Signals(Advert advert, int callers, int cores, Duration longest, Duration longestIdle,
                        SplittableRandom chance) {
@@ -799,36 +699,31 @@
             this.window = WINDOW * cores / Math.max(1, callers);
             this.longest = longest;
             this.chance = chance;
-            Arrays.fill(ages, Duration.ZERO);
         }
 
         void read(Duration now, Duration age, boolean resent) {
             reads.add(now, 1, 1);
             if (resent) further.add(now, 1, 1);
-            ages[(int) (readings++ % ages.length)] = age;
-            delay = Arrays.stream(ages).min(Comparator.naturalOrder()).get();
+            delay = min(age, lastAge); // one alone may only have shared its core with runs
+            lastAge = age;
             readAt = now;
         }
 
-        /** Guards against a jam of unread invocations, whatever its cause: reading starves the runs, what is
-         * read late is lost. A throttle with advice keeps its caller away; it harms where few heed it. */
+        /** Guards against a jam of unread invocations: reading starves the runs, and all is late. */
         boolean jammed(Duration objective) {
-            return seconds(delay) > seconds(objective) * (advert == Advert.NONE ? JAM : TOLD_JAM);
+            return seconds(delay) > seconds(objective) * JAM;
         }
 
         /** The best guess of how others fare is how this server does, and how many they sent on to here. */
         boolean crowded(Duration now) {
-            double sentOn = further.sum(now) / Math.max(1, reads.sum(now));
-            return chance.nextDouble() > (1 - throttled(now)) * (1 - sentOn);
+            double read = Math.max(1, reads.sum(now));
+            return chance.nextDouble() > (1 - throttles.sum(now) / read) * (1 - further.sum(now) / read);
         }
 
-        /** Share of what was read of late that was throttled. */
-        double throttled(Duration now) { return throttles.sum(now) / Math.max(1, reads.sum(now)); }
-
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
             double spread = 0.25 + chance.nextDouble() / 2;
-            return min(longest, span(seconds(max(ADVICE, wait.plus(delay))) * spread));
+            return min(longest, span(seconds(max(BEAT, wait.plus(delay))) * spread));
         }
 
         /** Opens slowly while little waits, closes quickly while much does. */
@@ -840,28 +735,25 @@
                 healthy = !healthy;
                 server.health(healthy, true);
             }
-            boolean tooLong = seconds(wait) > seconds(objective) * LONG_WAIT
-                || seconds(delay) > seconds(objective) * JAM;
+            boolean tooLong = seconds(wait) > seconds(objective) * LONG_WAIT || jammed(objective);
             openness = Math.max(SHUT, Math.min(1, openness * (tooLong ? CLOSE : OPEN)));
             say(server);
         }
 
-        /** Guards against a full table, which turns callers away unread and takes a part of the cores: with
-         * many callers that seldom come back a kept connection is of no use to anyone. */
+        /** Guards against a full table, which turns callers away unread and takes a part of the cores. */
         void links(Server server, double open) {
             if (server.now().compareTo(linksAt) < 0) return;
             linksAt = server.now().plus(BUCKET);
             Duration before = idle;
-            if (open > LINKS * cores) idle = max(SILENCE, idle.dividedBy(2));
+            if (open > LINKS * cores) idle = max(BEAT, idle.dividedBy(2));
             else if (open < LINKS * cores / 2) idle = min(longestIdle, idle.multipliedBy(2));
             if (!idle.equals(before)) server.idleAfter(idle);
         }
 
         private void say(Server server) {
-            if (advert == Advert.NONE) return;
-            if (openness == said) return;
-            double scaled = advert == Advert.WINDOW ? openness * window : openness;
+            if (advert == Advert.NONE || openness == said) return;
             said = openness;
+            double scaled = advert == Advert.WINDOW ? openness * window : openness;
             server.advertise(advert == Advert.LEVEL ? 1 - openness : scaled);
         }
     }
