--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -54,7 +54,7 @@
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
     private static final double LONG_WAIT = 0.4;
     /** Time unread over which reading is jammed, as a share of the shortest objective. */
-    private static final double JAM = 0.3;
+    private static final double JAM = 0.2;
     /** The like over which health goes bad: rare, since what one server is spared the others get. */
     private static final double DEEP_JAM = 3;
     /** No run has ended for so many times the longest that is expected of those that run: a stall. */
@@ -297,7 +297,7 @@
         };
     }
 
-    private void answerDue(Server server) { new ArrayList<>(works.values()).forEach(w -> overdue(server, w)); }
+    private void answerDue(Server server) { List.copyOf(works.values()).forEach(w -> overdue(server, w)); }
 
     /** Answers in time, whatever still runs: the due time, and the kill of a process that leaves. */
     private void overdue(Server server, Work work) {
