--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -44,7 +44,7 @@
     /** Expected work before anything was measured, as a share of the latency objective. */
     private static final double UNKNOWN_WORK = 0.2;
     /** Room that one who waits needs before its goal: the expected run and so many of its spreads. */
-    private static final double SPREADS = 1.1;
+    private static final double SPREADS = 0.5;
     /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
     private static final double OPEN = 1.04;
     private static final double CLOSE = 0.9;
