--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -37,8 +37,9 @@
     /** Share of the memory that is used, since more may be read at any time, and that tokens may take. */
     private static final double MEMORY = 0.9;
     private static final double TOKENS = 0.4;
-    /** Share of its slice by which this server's calls fill up again; two and a half times it is the most. */
-    private static final double SLICE = 0.3;
+    /** Share of its slice that calls may be in hand, and least patience in mean times where several are. */
+    private static final double SLICE = 0.45;
+    private static final double PATIENT = 4;
     /** Started invocations waiting for a place at a call, by core: more only fill memory. */
     private static final int PARKED = 2;
     /** Expected work before anything was measured, as a share of the latency objective. */
@@ -587,7 +588,7 @@
 
     /** Calls below: how many seconds they may be in hand, and who makes the next. */
     public static final class Calls {
-        private final double rate, full;
+        private final double rate, full, span;
         private final Duration linger;
         private final int atOnce;
         private final ArrayDeque<Work> parked = new ArrayDeque<>();
@@ -598,7 +599,8 @@
 
         public Calls(double slice, int cores, Duration linger, Duration span) {
             this.rate = slice * SLICE;
-            this.full = rate * seconds(span);
+            this.span = seconds(span);
+            this.full = rate * seconds(BUCKET); // what all servers saved up is spent at once in a crowd
             this.level = full;
             this.linger = linger;
             this.atOnce = PARKED * cores;
@@ -619,9 +621,9 @@
         /** The next to make its call, or null. */
         Work next(Duration now) {
             if (parked.isEmpty() || inHand >= 2 * atOnce || left(now) <= 0) return null;
-            // Even if all in hand take so long, the span's sum holds.
-            double patience = (left(now) + full / 2) / 2 / (1 + inHand);
-            if (patience <= Math.min(took.mean(now, 0), full / 4)) return null;
+            // Even if all take so long, the span's sum holds; calls that have become slow go one by one.
+            double patience = rate * span / 2 / (1 + inHand);
+            if (inHand > 0 && patience < PATIENT * took.mean(now, 0)) return null;
             Work work = parked.poll();
             Duration rest = work.inv.due().minus(LEAD).minus(now);
             work.patience = max(min(rest, span(patience)), BEAT);
