--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -22,6 +22,8 @@
     private static final Duration LEAD = Duration.ofMillis(80);
     /** The way back to the client; an answer is aimed to leave so long before the objective. */
     private static final Duration WAY_BACK = Duration.ofMillis(30);
+    /** Share of the objective that a marked further try is taken to have spent elsewhere. */
+    private static final double SPENT = 0.4;
     /** Bucket of the rings, as long as the gauges look back; ten seconds of them hold enough ends. */
     private static final Duration BUCKET = Duration.ofMillis(500);
     private static final int BUCKETS = 20;
@@ -375,7 +377,8 @@
 
     /** When a run must have ended to earn the whole billed value. */
     private static Duration goal(Work work) {
-        return min(work.inv.arrived().plus(work.operation().objective()), work.inv.due()).minus(WAY_BACK);
+        Duration spent = work.inv.resent() ? span(seconds(work.operation().objective()) * SPENT) : WAY_BACK;
+        return min(work.inv.arrived().plus(work.operation().objective()), work.inv.due()).minus(spent);
     }
 
     /** The table of tokened tries: a repeat is known by its tie to a kept one. */
--- a/src/test/java/ochretiller/ChoiceTest.java
+++ b/src/test/java/ochretiller/ChoiceTest.java
@@ -274,6 +274,18 @@
         assertThat(server.end(101, RunEnd.Result.SUCCEEDED)).containsExactly("run 2");
     }
 
+    @Test
+    void markedFurtherTryGivesUpSoonerThanAFirst() {
+        busy();
+        Invocation first = server.inv(1, READ, null);
+        Invocation further = new Invocation(new InvId(2), null, READ, 10, Duration.ZERO, first.due(), null,
+            first.caller(), null, true);
+        server.act(server.choice().arrived(first));
+        server.act(server.choice().arrived(further));
+        assertThat(server.beat(Duration.ofMillis(1_250)))
+            .containsAnyOf("throttle 2", "last 2").doesNotContain("throttle 1", "last 1");
+    }
+
     @Test
     void whoHasMostInTheHoldLosesTheNextPlace() {
         Choice.Hold hold = new Choice.Hold(List.of(), 1, 1, false);
