The jam guard acts on marked further tries at half the time unread

Cause: in a storm the first tries were thrown away with the further ones; the readings of both are paid for, and the first have their time before them.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -138,7 +138,8 @@
         boolean late = now.compareTo(goal(work)) > 0;
         boolean full = work.operation().tokened()
             && !(tokens.room(now) && memory.room(tokens.entryKb, tokens.kb(now)));
-        boolean jammed = work.operation().idempotent() && signals.jammed(hold.shortest());
+        boolean jammed = work.operation().idempotent()
+            && signals.jammed(work.inv.resent() ? hold.shortest().dividedBy(2) : hold.shortest());
         if (late || full || jammed || drain.forbids(work.inv, now)) {
             throttle(server, work, late);
             return;
