--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -23,7 +23,7 @@
     /** The way back to the client; an answer is aimed to leave so long before the objective. */
     private static final Duration WAY_BACK = Duration.ofMillis(30);
     /** Share of the objective that a marked further try is taken to have spent elsewhere. */
-    private static final double SPENT = 0.4;
+    private static final double SPENT = 0.5;
     /** Bucket of the rings, as long as the gauges look back; ten seconds of them hold enough ends. */
     private static final Duration BUCKET = Duration.ofMillis(500);
     private static final int BUCKETS = 20;
@@ -139,7 +139,7 @@
         boolean full = work.operation().tokened()
             && !(tokens.room(now) && memory.room(tokens.entryKb, tokens.kb(now)));
         boolean jammed = work.operation().idempotent()
-            && signals.jammed(work.inv.resent() ? hold.shortest().dividedBy(2) : hold.shortest());
+            && signals.jammed(hold.shortest(), work.inv.resent() ? JAM * SPENT : JAM);
         if (late || full || jammed || drain.forbids(work.inv, now)) {
             throttle(server, work, late);
             return;
@@ -716,8 +716,8 @@
         }
 
         /** Guards against a jam of unread invocations: reading starves the runs, and all is late. */
-        boolean jammed(Duration objective) {
-            return seconds(delay) > seconds(objective) * JAM;
+        boolean jammed(Duration objective, double share) {
+            return seconds(delay) > seconds(objective) * share;
         }
 
         /** The best guess of how others fare is how this server does, and how many they sent on to here. */
@@ -736,12 +736,12 @@
         void tell(Server server, Duration wait, Duration objective) {
             if (!stalled && server.now().minus(readAt).compareTo(BUCKET) > 0) delay = Duration.ZERO;
             boolean deep = seconds(delay) > seconds(objective) * DEEP_JAM;
-            if (healthy ? deep : !jammed(objective)) {
+            if (healthy ? deep : !jammed(objective, JAM)) {
                 // Guards against a jam that feeds itself: callers that wait no longer never get the advice.
                 healthy = !healthy;
                 server.health(healthy, true);
             }
-            boolean tooLong = seconds(wait) > seconds(objective) * LONG_WAIT || jammed(objective);
+            boolean tooLong = seconds(wait) > seconds(objective) * LONG_WAIT || jammed(objective, JAM);
             openness = Math.max(SHUT, Math.min(1, openness * (tooLong ? CLOSE : OPEN)));
             say(server);
         }
