--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -338,7 +338,7 @@
         Duration now = server.now();
         dropped(server, work);
         server.throttle(work.inv.id(), signals.advice(wait(now)),
-            !drain.noticed() && (last || signals.crowded(now)));
+            !drain.noticed() && (last || signals.crowded(now) || work.inv.resent() && signals.crowded(now)));
         signals.throttles.add(now, 1, 1);
         work.answered = true;
         forget(work);
