--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -338,7 +338,7 @@
         Duration now = server.now();
         dropped(server, work);
         server.throttle(work.inv.id(), signals.advice(wait(now)),
-            !drain.noticed() && (last || signals.crowded(now) || work.inv.resent() && signals.crowded(now)));
+            !drain.noticed() && (last || signals.crowded(now, work.inv.resent())));
         signals.throttles.add(now, 1, 1);
         work.answered = true;
         forget(work);
@@ -720,10 +720,12 @@
             return seconds(delay) > seconds(objective) * share;
         }
 
-        /** The best guess of how others fare is how this server does, and how many they sent on to here. */
-        boolean crowded(Duration now) {
+        /** The best guess of how others fare is how this server does, and how many they sent on to here; for one
+         * that was sent on already it is asked twice. */
+        boolean crowded(Duration now, boolean resent) {
             double read = Math.max(1, reads.sum(now));
-            return chance.nextDouble() > (1 - throttles.sum(now) / read) * (1 - further.sum(now) / read);
+            double room = (1 - throttles.sum(now) / read) * (1 - further.sum(now) / read);
+            return chance.nextDouble() > (resent ? room * room : room);
         }
 
         /** The wait in the hold, spread a little so that not all return at once. */
