--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -12,8 +12,8 @@
  *
  * <p>How it is called: its owner builds the parts, each with its own few settings, and tells what happens by
  * {@link #started}, {@link #arrived}, {@link #blocked}, {@link #gone} and {@link #leave}. Each returns a
- * {@link Step} to be acted out on the interface, {@link Server} in {@code ochretiller.server}; results of
- * runs, calls and timers go to the continuations left there. docs/design.md tells why.
+ * {@link Step} to be acted out on the interface, {@link Server} in {@code ochretiller.server}, where it
+ * leaves continuations for what comes of runs, calls and timers. docs/design.md tells why.
  */
 public final class Choice {
     /** Beat of what changes slowly; due times and objectives have timers of their own. */
@@ -44,7 +44,7 @@
     private static final double PATIENT = 4;
     /** Started invocations waiting for a place at a call, by core: more only fill memory. */
     private static final int PARKED = 2;
-    /** Expected work before anything was measured, as a share of the latency objective. */
+    /** Expected work before any was measured, as a share of the latency objective. */
     private static final double UNKNOWN_WORK = 0.2;
     /** Room that one who waits needs before its goal: the expected run and so many of its spreads. */
     private static final double SPREADS = 0.5;
@@ -153,7 +153,7 @@
         hold.held.add(work);
     }
 
-    /** Gives up what cannot end in time any more, or has no room; who has most in the hold loses first. */
+    /** Gives up what cannot end in time any more, or has no room. */
     private void squeeze(Server server) {
         while (hold.held.size() > 0) {
             Duration now = server.now();
@@ -501,23 +501,21 @@
             return 1;
         }
 
-        /** A run took so long on the cores. */
         void measured(Invocation inv, Duration took, Duration now) {
             double off = seconds(took) / Math.max(1e-6, expected(inv, now)) - 1;
             spreads.add(now, Math.min(off * off, 9), 1);
-            Ring ring = taken.computeIfAbsent(inv.operation(), o -> new Ring(BUCKET, BUCKETS));
-            ring.add(now, seconds(took), guess(inv));
+            taken(inv.operation()).add(now, seconds(took), guess(inv));
         }
 
+        private Ring taken(Operation o) { return taken.computeIfAbsent(o, x -> new Ring(BUCKET, BUCKETS)); }
+
         private static double guess(Invocation inv) {
-            if (inv.hint() != null) return seconds(inv.hint());
-            return seconds(inv.operation().objective()) * UNKNOWN_WORK;
+            return inv.hint() != null ? seconds(inv.hint()) : seconds(inv.operation().objective()) * UNKNOWN_WORK;
         }
 
         /** Expected seconds on the cores: the hint, or a guess, times how such proved of late. */
         double expected(Invocation inv, Duration now) {
-            Ring ring = taken.get(inv.operation());
-            return ring == null ? guess(inv) : guess(inv) * ring.mean(now, 1);
+            return guess(inv) * taken(inv.operation()).mean(now, 1);
         }
 
         private double rate(Work work, Duration now) {
@@ -694,7 +692,7 @@
         private final Ring throttles = new Ring(BUCKET, RECENT);
         private double openness = 1, said = 1;
         private Duration delay = Duration.ZERO, lastAge = Duration.ZERO, readAt = Duration.ZERO;
-        private Duration idle, linksAt = Duration.ZERO;
+        private Duration idle;
         private boolean healthy = true, stalled;
 
         public Signals(Advert advert, int callers, int cores, Duration longest, Duration longestIdle,
@@ -720,8 +718,7 @@
             return seconds(delay) > seconds(objective) * share;
         }
 
-        /** The best guess of how others fare is how this server does, and how many they sent on to here; for one
-         * that was sent on already it is asked twice. */
+        /** How others fare is guessed from how this server does and what they sent on; twice if it walked. */
         boolean crowded(Duration now, boolean resent) {
             double read = Math.max(1, reads.sum(now));
             double room = (1 - throttles.sum(now) / read) * (1 - further.sum(now) / read);
@@ -750,12 +747,10 @@
 
         /** Guards against a full table, which turns callers away unread and takes a part of the cores. */
         void links(Server server, double open) {
-            if (server.now().compareTo(linksAt) < 0) return;
-            linksAt = server.now().plus(BUCKET);
-            Duration before = idle;
-            if (open > LINKS * cores) idle = max(BEAT, idle.dividedBy(2));
-            else if (open < LINKS * cores / 2) idle = min(longestIdle, idle.multipliedBy(2));
-            if (!idle.equals(before)) server.idleAfter(idle);
+            Duration shorter = max(BEAT, idle.multipliedBy(9).dividedBy(10));
+            Duration longer = min(longestIdle, idle.multipliedBy(10).dividedBy(9));
+            Duration next = open > LINKS * cores ? shorter : open < LINKS * cores / 2 ? longer : idle;
+            if (!next.equals(idle)) server.idleAfter(idle = next);
         }
 
         private void say(Server server) {
