--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -510,7 +510,8 @@
         private Ring taken(Operation o) { return taken.computeIfAbsent(o, x -> new Ring(BUCKET, BUCKETS)); }
 
         private static double guess(Invocation inv) {
-            return inv.hint() != null ? seconds(inv.hint()) : seconds(inv.operation().objective()) * UNKNOWN_WORK;
+            Duration objective = inv.operation().objective();
+            return inv.hint() != null ? seconds(inv.hint()) : seconds(objective) * UNKNOWN_WORK;
         }
 
         /** Expected seconds on the cores: the hint, or a guess, times how such proved of late. */
@@ -571,14 +572,12 @@
             Map<Object, Double> counts = new HashMap<>();
             for (Work work : held) counts.merge(group(work), 1 / share(work), Double::sum);
             Work loser = ordered.get(0);
-            for (Work work : ordered) {
-                if (counts.get(group(work)) >= counts.get(group(loser))) loser = work;
-            }
+            for (Work work : ordered) if (counts.get(group(work)) >= counts.get(group(loser))) loser = work;
             return loser;
         }
 
-        private double share(Work work) {
-            return tenants.containsKey(work.inv.tenant()) ? tenants.get(work.inv.tenant()).share() : 1;
+        private double share(Work w) {
+            return tenants.containsKey(w.inv.tenant()) ? tenants.get(w.inv.tenant()).share() : 1;
         }
 
         private Object group(Work w) { return w.inv.tenant() != null ? w.inv.tenant() : w.inv.caller(); }
