Idle time changes each half second again

Cause: stepped on each beat it overshot while connections were still closing; 1,000 gateways then found no connection.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -268,8 +268,7 @@
         };
     }
 
-    /** Stops what nobody waits for; a tokened run goes on, since its repeat can be answered from it. */
-    private void stopUnwanted(Server server, Work work) {
+    private void stopUnwanted(Server server, Work work) { // a tokened run goes on: its repeat is answered from it
         if (limit.canStop && work.operation().idempotent()) server.stop(work.inv.id());
     }
 
@@ -691,7 +690,7 @@
         private final Ring throttles = new Ring(BUCKET, RECENT);
         private double openness = 1, said = 1;
         private Duration delay = Duration.ZERO, lastAge = Duration.ZERO, readAt = Duration.ZERO;
-        private Duration idle;
+        private Duration idle, linksAt = Duration.ZERO;
         private boolean healthy = true, stalled;
 
         public Signals(Advert advert, int callers, int cores, Duration longest, Duration longestIdle,
@@ -746,8 +745,9 @@
 
         /** Guards against a full table, which turns callers away unread and takes a part of the cores. */
         void links(Server server, double open) {
-            Duration shorter = max(BEAT, idle.multipliedBy(9).dividedBy(10));
-            Duration longer = min(longestIdle, idle.multipliedBy(10).dividedBy(9));
+            if (server.now().compareTo(linksAt) < 0) return; // what was closed shows in the next gauge only
+            linksAt = server.now().plus(BUCKET);
+            Duration shorter = max(BEAT, idle.dividedBy(2)), longer = min(longestIdle, idle.multipliedBy(2));
             Duration next = open > LINKS * cores ? shorter : open < LINKS * cores / 2 ? longer : idle;
             if (!next.equals(idle)) server.idleAfter(idle = next);
         }
