--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -268,7 +268,8 @@
         };
     }
 
-    private void stopUnwanted(Server server, Work work) { // a tokened run goes on: its repeat is answered from it
+    /** A tokened run goes on though nobody waits for it, since its repeat can be answered from it. */
+    private void stopUnwanted(Server server, Work work) {
         if (limit.canStop && work.operation().idempotent()) server.stop(work.inv.id());
     }
 
