--- /dev/null
+++ b/src/main/java/ochretiller/gateway/Peer.java
@@ -0,0 +1,65 @@
+package ochretiller.gateway;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import ochretiller.net.CloseCode;
+import ochretiller.net.Connection;
+import ochretiller.net.Receiver;
+import ochretiller.text.Frames;
+
+/** One connection of a gateway and the requests that are open on it. */
+final class Peer implements Receiver {
+    private static final int LONGEST_LINE = 8 * 1024;
+
+    final Connection connection;
+    /** Open over the limit: it is told so and closed. */
+    final boolean surplus;
+    final Map<Long, Try> open = new LinkedHashMap<>();
+    /** Health checks at work. */
+    int checks;
+    boolean inputEnded;
+    private final Gateway gateway;
+    private final Frames frames = new Frames(LONGEST_LINE, false, line -> Frames.NONE);
+
+    Peer(Connection connection, boolean surplus, Gateway gateway) {
+        this.connection = connection;
+        this.surplus = surplus;
+        this.gateway = gateway;
+    }
+
+    @Override
+    public Runnable received(byte[] bytes, int from, int to) {
+        Runnable[] work = new Runnable[1];
+        frames.read(bytes, from, to, (line, body) -> {
+            Rpc.Message message = Rpc.read(line);
+            Runnable before = work[0];
+            work[0] = before == null ? () -> gateway.read(this, message) : () -> {
+                before.run();
+                gateway.read(this, message);
+            };
+        });
+        return work[0];
+    }
+
+    boolean busy() {
+        return !open.isEmpty() || checks > 0;
+    }
+
+    @Override
+    public void inputEnded() {
+        inputEnded = true;
+        settle();
+    }
+
+    /** Closes it where nothing more is to come and nothing is owed. */
+    void settle() {
+        if (busy()) return;
+        if (inputEnded) connection.close(CloseCode.PEER_CLOSED);
+        else if (surplus) connection.close(CloseCode.TOO_MANY);
+    }
+
+    @Override
+    public void ended(CloseCode code) {
+        gateway.ended(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Where gateways come in: listening, JSON-RPC, open requests, health checks, idle closing and leaving. */
+package ochretiller.gateway;
--- /dev/null
+++ b/src/main/java/ochretiller/keys/Keys.java
@@ -0,0 +1,131 @@
+package ochretiller.keys;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import ochretiller.model.InvId;
+import ochretiller.model.Operation;
+
+/** The table of keys: which kept try one repeats, and the results that repeats are answered with. */
+public final class Keys {
+    /** Bytes that an entry takes beside its result. */
+    private static final int ENTRY = 400;
+
+    private final long mostBytes;
+    private final Duration fresh;
+    private final Map<Object, Entry> byKey = new HashMap<>();
+    private final Map<InvId, Entry> byId = new HashMap<>();
+    private final PriorityQueue<Entry> ending = new PriorityQueue<>(Comparator.comparing((Entry e) -> e.forgetAt));
+    private long bytes;
+
+    /** What reads share: the operation and what it is about. */
+    private record ReadKey(Operation operation, String object) {
+    }
+
+    private static final class Entry {
+        final Object key;
+        final InvId id;
+        /** A repeat that reached the machine before this is tied to it; later ones are not. */
+        Duration until;
+        Duration forgetAt;
+        boolean over;
+        byte[] result;
+        final List<Consumer<byte[]>> waiting = new ArrayList<>();
+
+        Entry(Object key, InvId id, Duration until) {
+            this.key = key;
+            this.id = id;
+            this.until = until;
+        }
+    }
+
+    /**
+     * An empty table.
+     *
+     * @param mostBytes bytes that results may take together
+     * @param fresh     how long the result of a read may serve others; zero for never
+     */
+    public Keys(long mostBytes, Duration fresh) {
+        this.mostBytes = mostBytes;
+        this.fresh = fresh;
+    }
+
+    private static Object key(Operation operation, String token, String object) {
+        if (operation.tokened()) return token;
+        return operation.idempotent() && object != null ? new ReadKey(operation, object) : null;
+    }
+
+    /** The try that one which arrived then repeats, or null. A read that repeats none is known from here on. */
+    public InvId read(InvId id, Operation operation, String token, String object, Duration arrived, Duration now) {
+        while (!ending.isEmpty() && ending.peek().forgetAt.compareTo(now) <= 0) drop(ending.peek());
+        Object key = key(operation, token, object);
+        if (key == null) return null;
+        Entry entry = byKey.get(key);
+        if (entry != null && arrived.compareTo(entry.until) < 0) return entry.id;
+        if (!operation.tokened()) put(new Entry(key, id, Duration.ofDays(10_000)), operation);
+        return null;
+    }
+
+    /** Puts a tokened try into the table, or lets a read serve others, until then. */
+    public void keep(InvId id, Operation operation, String token, Duration until) {
+        if (operation.tokened()) put(new Entry(token, id, until), operation);
+    }
+
+    private void put(Entry entry, Operation operation) {
+        Entry old = byKey.get(entry.key);
+        if (old != null) drop(old);
+        // A repeat may be read long after it came: an entry is known for one more client timeout.
+        entry.forgetAt = entry.until.plus(operation.clientTimeout());
+        byKey.put(entry.key, entry);
+        byId.put(entry.id, entry);
+        ending.add(entry);
+        bytes += ENTRY;
+    }
+
+    private void drop(Entry entry) {
+        byKey.remove(entry.key, entry);
+        byId.remove(entry.id, entry);
+        ending.remove(entry);
+        bytes -= ENTRY + (entry.result == null ? 0 : entry.result.length);
+        entry.waiting.forEach(waiting -> waiting.accept(null));
+    }
+
+    public void erase(InvId id) {
+        Entry entry = byId.get(id);
+        if (entry != null) drop(entry);
+    }
+
+    /** A try is over; {@code result} is null unless it succeeded. */
+    public void ended(InvId id, boolean tokened, byte[] result, Duration now) {
+        Entry entry = byId.get(id);
+        if (entry == null || entry.over) return;
+        entry.over = true;
+        // Guards against a full memory: without its result an entry stays, and its repeats are errored, never run.
+        if (result != null && bytes + result.length <= mostBytes) {
+            entry.result = result;
+            bytes += result.length;
+        }
+        entry.waiting.forEach(waiting -> waiting.accept(result));
+        entry.waiting.clear();
+        if (tokened) return;
+        if (result == null || fresh.isZero()) {
+            drop(entry);
+        } else {
+            ending.remove(entry);
+            entry.until = entry.forgetAt = now.plus(fresh);
+            ending.add(entry);
+        }
+    }
+
+    /** Hands over the result of a kept try once it is there, or null where there is none to be had. */
+    public void result(InvId id, Consumer<byte[]> then) {
+        Entry entry = id == null ? null : byId.get(id);
+        if (entry == null || entry.over) then.accept(entry == null ? null : entry.result);
+        else entry.waiting.add(then);
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/net/CloseCode.java
@@ -0,0 +1,23 @@
+package ochretiller.net;
+
+/** Why a connection ended; each that ends leaves one line with its code. */
+public enum CloseCode {
+    /** The peer closed it. */
+    PEER_CLOSED,
+    /** The peer reset it, or the network broke it. */
+    BROKEN,
+    /** It was never made. */
+    REFUSED,
+    /** It was silent for as long as connections are kept. */
+    IDLE,
+    /** The peer sent what does not follow its page. */
+    BAD_INPUT,
+    /** The peer does not read what it is sent. */
+    NOT_READING,
+    /** More connections are open than the limits allow. */
+    TOO_MANY,
+    /** A newer connection takes its place. */
+    REPLACED,
+    /** This server leaves. */
+    LEAVING
+}
--- /dev/null
+++ b/src/main/java/ochretiller/net/Connection.java
@@ -0,0 +1,100 @@
+package ochretiller.net;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.IoSession;
+
+/** A connection as the one thread sees it: what is written in one gathering goes out in one write. */
+public final class Connection {
+    /** Bytes that may wait for a peer to read them: some dozen of the longest answers. */
+    private static final long UNREAD = 256 * 1024;
+    /** Gatherings that may wait here before nothing more is read from the peer. */
+    private static final int BEHIND = 16;
+
+    private final IoSession session;
+    private final Network network;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream(512);
+    private final AtomicInteger behind = new AtomicInteger();
+    private volatile CloseCode code;
+    private Duration usedAt;
+
+    Connection(IoSession session, Network network, Duration now) {
+        this.session = session;
+        this.network = network;
+        this.usedAt = now;
+    }
+
+    /** Why it ends; null while it is open. The first reason stays. */
+    CloseCode code() {
+        return code;
+    }
+
+    void reason(CloseCode reason) {
+        if (code == null) code = reason;
+    }
+
+    public boolean open() {
+        return code == null;
+    }
+
+    public String peer() {
+        return String.valueOf(session.getRemoteAddress());
+    }
+
+    /** When something was last read or written. */
+    public Duration usedAt() {
+        return usedAt;
+    }
+
+    public void used(Duration now) {
+        usedAt = now;
+    }
+
+    public Connection write(String text) {
+        return write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    public Connection write(byte[] bytes) {
+        if (code != null) return this;
+        if (out.size() == 0) network.dirty(this);
+        out.write(bytes, 0, bytes.length);
+        return this;
+    }
+
+    void flush() {
+        if (code != null || out.size() == 0) return;
+        // Guards against a peer that does not read and would fill the memory.
+        if (session.getScheduledWriteBytes() + out.size() > UNREAD) {
+            reason(CloseCode.NOT_READING);
+            session.closeNow();
+            return;
+        }
+        session.write(IoBuffer.wrap(out.toByteArray()));
+        out.reset();
+    }
+
+    /** Ends it once all that was written has gone out. */
+    public void close(CloseCode reason) {
+        flush();
+        reason(reason);
+        session.closeOnFlush();
+    }
+
+    /** Ends it at once. */
+    public void drop(CloseCode reason) {
+        reason(reason);
+        session.closeNow();
+    }
+
+    /** Guards against a peer that sends faster than the one thread works: its socket fills instead. */
+    void queued() {
+        if (behind.incrementAndGet() == BEHIND) session.suspendRead();
+    }
+
+    void worked() {
+        if (behind.getAndDecrement() == BEHIND) session.resumeRead();
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/net/Network.java
@@ -0,0 +1,184 @@
+package ochretiller.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import ochretiller.text.BadInputException;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.future.IoFutureListener;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+
+/** Apache MINA with one shared IO processor. Its threads decode and enqueue; all else is the schedule's. */
+public final class Network {
+    private static final Logger LOG = Logger.getLogger(Network.class.getName());
+    /** Bytes read at once: a few of the longest messages. */
+    private static final int READ = 16 * 1024;
+    private static final int FIRST_READ = 4 * 1024;
+    private static final int BACKLOG = 1024;
+    private static final long CONNECT_MS = 2_000;
+
+    private final Schedule schedule;
+    private final ExecutorService threads = Executors.newCachedThreadPool(Network::thread);
+    private final NioProcessor processor = new NioProcessor(threads);
+    private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
+    private final Set<Connection> dirty = new LinkedHashSet<>();
+    private NioSocketAcceptor acceptor;
+
+    public Network(Schedule schedule) {
+        this.schedule = schedule;
+        tune(connector.getSessionConfig());
+        connector.setConnectTimeoutMillis(CONNECT_MS);
+        connector.setHandler(new Handler("link", null));
+    }
+
+    private static Thread thread(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private static void tune(SocketSessionConfig config) {
+        config.setTcpNoDelay(true);
+        config.setMaxReadBufferSize(READ);
+        config.setReadBufferSize(FIRST_READ);
+    }
+
+    /** Listens on this address only; each connection gets its receiver on the network's thread. */
+    public void listen(InetSocketAddress address, Function<Connection, Receiver> receivers) throws IOException {
+        acceptor = new NioSocketAcceptor(threads, processor);
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        tune(acceptor.getSessionConfig());
+        acceptor.setHandler(new Handler("gateway", receivers));
+        acceptor.bind(address);
+    }
+
+    /** No new connection is taken; those that are open stay. */
+    public void closeListener() {
+        acceptor.setCloseOnDeactivation(false);
+        acceptor.unbind();
+    }
+
+    /** Connects; the receiver is made, or {@code failed} is run on the schedule. */
+    public void connect(InetSocketAddress address, Function<Connection, Receiver> receivers, Runnable failed) {
+        ConnectFuture connecting = connector.connect(address, (session, future) ->
+            session.setAttribute(Function.class, receivers));
+        connecting.addListener((IoFutureListener<ConnectFuture>) future -> {
+            if (!future.isConnected()) {
+                LOG.info(() -> "connection link " + address + " ended: " + CloseCode.REFUSED);
+                schedule.post(failed);
+            }
+        });
+    }
+
+    void dirty(Connection connection) {
+        dirty.add(connection);
+    }
+
+    /** Writes out what a gathering has left, one write for each connection. */
+    public void flush() {
+        if (dirty.isEmpty()) return;
+        List<Connection> all = new ArrayList<>(dirty);
+        dirty.clear();
+        all.forEach(Connection::flush);
+    }
+
+    /** Ends all threads; what was written has gone out or never will. */
+    public void stop() {
+        if (acceptor != null) acceptor.dispose(false);
+        connector.dispose(false);
+        threads.shutdown();
+    }
+
+    private final class Handler extends IoHandlerAdapter {
+        private final String kind;
+        private final Function<Connection, Receiver> fixed;
+
+        Handler(String kind, Function<Connection, Receiver> fixed) {
+            this.kind = kind;
+            this.fixed = fixed;
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public void sessionCreated(IoSession session) {
+            Connection connection = new Connection(session, Network.this, schedule.now());
+            Function<Connection, Receiver> receivers = fixed != null ? fixed
+                : (Function<Connection, Receiver>) session.removeAttribute(Function.class);
+            session.setAttribute(Connection.class, connection);
+            session.setAttribute(Receiver.class, receivers.apply(connection));
+        }
+
+        private Connection connection(IoSession session) {
+            return (Connection) session.getAttribute(Connection.class);
+        }
+
+        private Receiver receiver(IoSession session) {
+            return (Receiver) session.getAttribute(Receiver.class);
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            Connection connection = connection(session);
+            if (!connection.open()) return;
+            IoBuffer buffer = (IoBuffer) message;
+            int from = buffer.arrayOffset() + buffer.position();
+            Runnable work;
+            try {
+                work = receiver(session).received(buffer.array(), from, from + buffer.remaining());
+            } catch (BadInputException e) {
+                LOG.info(() -> "bad input from " + kind + " " + connection.peer() + ": " + e.getMessage());
+                connection.drop(CloseCode.BAD_INPUT);
+                return;
+            }
+            if (work == null) return;
+            connection.queued();
+            schedule.post(() -> {
+                connection.worked();
+                connection.used(schedule.now());
+                work.run();
+            });
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            session.suspendRead(); // guards against a selector that wakes for this end again and again
+            Receiver receiver = receiver(session);
+            schedule.post(receiver::inputEnded);
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            Connection connection = connection(session);
+            Receiver receiver = receiver(session);
+            connection.reason(CloseCode.PEER_CLOSED);
+            schedule.post(() -> {
+                CloseCode code = connection.code();
+                LOG.info(() -> "connection " + kind + " " + connection.peer() + " ended: " + code);
+                receiver.ended(code);
+            });
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            Connection connection = connection(session);
+            if (connection == null) return;
+            if (!(cause instanceof IOException)) LOG.log(Level.WARNING, "fault at " + connection.peer(), cause);
+            connection.drop(CloseCode.BROKEN);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/net/Schedule.java
@@ -0,0 +1,15 @@
+package ochretiller.net;
+
+import java.time.Duration;
+
+/** The one thread that owns all state: what it is given runs there, one after another. */
+public interface Schedule {
+    /** Time since the start, the same all through one gathering. */
+    Duration now();
+
+    /** From any thread: {@code work} runs in the next gathering. */
+    void post(Runnable work);
+
+    /** On the one thread only: {@code work} runs once {@code span} has passed. */
+    void after(Duration span, Runnable work);
+}
--- /dev/null
+++ b/src/main/java/ochretiller/node/Node.java
@@ -0,0 +1,134 @@
+package ochretiller.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import ochretiller.Choice;
+import ochretiller.gateway.Gateway;
+import ochretiller.gateway.Health;
+import ochretiller.gateway.Try;
+import ochretiller.keys.Keys;
+import ochretiller.net.Network;
+import ochretiller.processor.Link;
+import ochretiller.records.Records;
+import ochretiller.roster.Roster;
+import ochretiller.settings.Settings;
+
+/** One server from its start through its drain to its stop. */
+public final class Node {
+    private static final Logger LOG = Logger.getLogger(Node.class.getName());
+    /** Time to write out the last answers and end before the kill. */
+    private static final Duration ENDING = Duration.ofMillis(150);
+    /** A request may cross the word to leave for 50 ms; twice that is waited before connections are closed. */
+    private static final Duration CROSSING = Duration.ofMillis(100);
+    private static final Duration LOOK = Duration.ofMillis(20);
+    /** Part of the memory limit that kept results may take. */
+    private static final int KEYS_PART = 8;
+
+    private final Configuration configuration;
+    private final Loop loop = new Loop();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final Network network = new Network(loop);
+    private final Link link;
+    private final Records records;
+    private final Roster roster;
+    private final Health health;
+    private final Gateway gateway;
+    private Host host;
+    private boolean leaving;
+
+    public Node(Configuration configuration) throws IOException {
+        this.configuration = configuration;
+        link = new Link(loop, network, configuration.processor(),
+            List.of(configuration.settings().text("familyInfo.meters").split(",")), this::up,
+            (rid, body) -> host.asked(rid, body));
+        records = new Records(loop, network, configuration.records());
+        roster = new Roster(loop, configuration.roster(), configuration.name());
+        health = new Health(link::trial);
+        gateway = new Gateway(loop, configuration.operations(), configuration.sockets() / 2,
+            configuration.settings().span("familyInfo.idleNs", Duration.ZERO), health, this::sinceStart,
+            this::arrived, inv -> {
+                if (host != null) host.gone(inv);
+            });
+    }
+
+    /** Listens; a failure to do so is the caller's to tell. */
+    public void listen() throws IOException {
+        network.listen(configuration.listen(), gateway::accepted);
+        link.connect();
+        loop.post(roster::start);
+    }
+
+    /** Serves until the drain is over. */
+    public void run() {
+        LOG.info(() -> configuration.name() + " listens on " + configuration.listen());
+        loop.run(network::flush);
+        ended.countDown();
+    }
+
+    /** The notice to leave, from any thread; a second one changes nothing. Returns once the drain is over. */
+    public void drain() throws InterruptedException {
+        loop.post(this::leave);
+        ended.await(configuration.stop().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** The processor is there: the decisions begin, on a clock that started with it. */
+    private void up(boolean cold, Duration age) {
+        if (host != null) return;
+        LOG.info(() -> "the processor is up, " + (cold ? "cold" : "warm") + ", started " + age.toMillis() + " ms ago");
+        Choice choice = Settings.choice(configuration.settings(), new SplittableRandom(configuration.seed()), cold);
+        Keys keys = new Keys(configuration.memoryMb() * 1024L * 1024L / KEYS_PART,
+            configuration.settings().span("familyInfo.freshNs", Duration.ZERO));
+        host = new Host(loop, age.minus(loop.now()), choice, gateway, health, keys, link, records);
+        host.start();
+        if (leaving) host.leave(Duration.ZERO);
+    }
+
+    /** A Unix time on the schedule; a clock that was set back makes nothing come from the future. */
+    private Duration sinceStart(long unixMillis) {
+        return loop.now().minusMillis(Math.max(0, System.currentTimeMillis() - unixMillis));
+    }
+
+    private void arrived(Try inv) {
+        if (host != null) host.arrived(inv);
+        else gateway.throttle(inv, Duration.ZERO, false); // without a processor nothing can have run
+    }
+
+    private void leave() {
+        if (leaving) return;
+        leaving = true;
+        LOG.info("leaves");
+        Duration grace = configuration.settings().span("guarantees.stopSendingWithinNs", Duration.ZERO);
+        Duration last = configuration.stop().minus(ENDING);
+        roster.leave();
+        health.set(false, true);
+        if (host != null) host.leave(last);
+        Duration closing = grace.compareTo(last.minus(CROSSING)) < 0 ? grace : last.minus(CROSSING);
+        loop.after(closing.isNegative() ? Duration.ZERO : closing, () -> {
+            network.closeListener();
+            gateway.leave();
+            Duration until = loop.now().plus(last.minus(closing));
+            loop.after(CROSSING, () -> endWhenAnswered(until));
+        });
+    }
+
+    private void endWhenAnswered(Duration until) {
+        if (gateway.openTries() > 0 && loop.now().compareTo(until) < 0) {
+            loop.after(LOOK, () -> endWhenAnswered(until));
+            return;
+        }
+        gateway.close();
+        link.close();
+        records.close();
+        network.flush();
+        loop.after(LOOK, () -> {
+            LOG.info("ends");
+            network.stop();
+            loop.stop();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/processor/Link.java
@@ -0,0 +1,280 @@
+package ochretiller.processor;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+import ochretiller.model.Gauges;
+import ochretiller.net.CloseCode;
+import ochretiller.net.Connection;
+import ochretiller.net.Network;
+import ochretiller.net.Receiver;
+import ochretiller.net.Schedule;
+import ochretiller.text.BadInputException;
+import ochretiller.text.Frames;
+import ochretiller.text.Slice;
+
+/** Keeps a link to the processor, and tells each of its notices once and in order whatever becomes of the link. */
+public final class Link {
+    private static final Logger LOG = Logger.getLogger(Link.class.getName());
+    private static final Duration AGAIN = Duration.ofMillis(100);
+    /** Nothing follows faster than this: a gauge looks back half a second. */
+    private static final Duration GAUGES = Duration.ofMillis(50);
+    private static final int LONGEST = 64 * 1024;
+    private static final String FENCE = "fence";
+
+    private final Schedule schedule;
+    private final Network network;
+    private final InetSocketAddress address;
+    private final Gauging gauging;
+    private final BiConsumer<Boolean, Duration> up;
+    private final BiConsumer<String, byte[]> asked;
+    private final Map<String, Run> runs = new LinkedHashMap<>();
+    private final Map<String, Consumer<Boolean>> trials = new LinkedHashMap<>();
+    private Connection connection;
+    private boolean ready;
+    private boolean closing;
+    private long lastNotice;
+    private boolean gap;
+    private long tags;
+    private Duration gaugesAskedAt = Duration.ZERO;
+
+    /**
+     * A link that is not connected yet.
+     *
+     * @param meters the names of the gauges, in the order in which they are told
+     * @param up     told once the processor is there: whether it was cold at its start, and how long ago that was
+     * @param asked  told of a run that waits for a call, with the call's body
+     */
+    public Link(Schedule schedule, Network network, InetSocketAddress address, List<String> meters,
+                BiConsumer<Boolean, Duration> up, BiConsumer<String, byte[]> asked) {
+        this.schedule = schedule;
+        this.network = network;
+        this.address = address;
+        this.gauging = new Gauging(meters);
+        this.up = up;
+        this.asked = asked;
+    }
+
+    public void connect() {
+        if (!closing) network.connect(address, End::new, () -> schedule.after(AGAIN, this::connect));
+    }
+
+    public void close() {
+        closing = true;
+        if (connection != null) connection.close(CloseCode.LEAVING);
+    }
+
+    public Gauges gauges() {
+        return gauging.at(schedule.now());
+    }
+
+    /** Asks for gauges, unless that was done just now. */
+    public void askGauges() {
+        if (!ready || schedule.now().minus(gaugesAskedAt).compareTo(GAUGES) < 0) return;
+        gaugesAskedAt = schedule.now();
+        connection.write("usage g" + ++tags + "\r\n");
+    }
+
+    /** Does the work of a deep check; without a link none can be done. */
+    public void trial(Consumer<Boolean> then) {
+        if (!ready) {
+            then.accept(false);
+            return;
+        }
+        String tag = "t" + ++tags;
+        trials.put(tag, then);
+        connection.write("trial " + tag + "\r\n");
+    }
+
+    /** Begins a run; {@code then} is told how it ended, its time and its result. */
+    public void begin(String rid, String operation, byte[] body, boolean repeatable, EndOfRun then) {
+        Run run = new Run(rid, operation, body, repeatable, end -> then.ended(end.how(), end.took(), end.result()));
+        runs.put(rid, run);
+        if (ready) begin(run);
+    }
+
+    /** What is told of the end of a run. */
+    @FunctionalInterface
+    public interface EndOfRun {
+        void ended(String how, Duration took, byte[] result);
+    }
+
+    private void begin(Run run) {
+        counted("begin " + run.rid + ' ' + run.operation, run.body);
+    }
+
+    private void counted(String words, byte[] body) {
+        connection.write(words + ' ' + body.length + "\r\n").write(body).write("\r\n");
+    }
+
+    public void interrupt(String rid) {
+        Run run = runs.get(rid);
+        if (run == null) return;
+        run.stopped = true;
+        if (ready) connection.write("interrupt " + rid + "\r\n");
+    }
+
+    /** The reply to the call that a run waits for. */
+    public void answer(String rid, byte[] reply) {
+        Run run = runs.get(rid);
+        if (run == null) return;
+        run.reply = reply;
+        if (ready) counted("answer " + rid, reply);
+    }
+
+    /** All notices that were missed have been told: what the old link may have lost is said again. */
+    private void caughtUp() {
+        ready = true;
+        for (Run run : new ArrayList<>(runs.values())) {
+            if (gap && !run.repeatable) {
+                // Guards against a second effect: its end may have been among the notices that are lost.
+                runs.remove(run.rid);
+                run.then.accept(new Run.End("error", Duration.ZERO, null));
+                continue;
+            }
+            begin(run);
+            if (run.reply != null) counted("answer " + run.rid, run.reply);
+            if (run.stopped) connection.write("interrupt " + run.rid + "\r\n");
+        }
+        gap = false;
+    }
+
+    /** True once for each number; a number left out tells that notices are lost for good. */
+    private boolean isNew(long number) {
+        if (number <= lastNotice) return false;
+        gap |= number > lastNotice + 1;
+        lastNotice = number;
+        return true;
+    }
+
+    private static long number(String word) {
+        try {
+            long number = Long.parseLong(word);
+            if (number >= 0) return number;
+        } catch (NumberFormatException e) {
+            // told below, as a negative one is
+        }
+        throw new BadInputException("no number: '" + word + "'");
+    }
+
+    private static Duration span(String millis) {
+        try {
+            double value = Double.parseDouble(millis);
+            if (value >= 0 && value < 1e12) return Duration.ofNanos((long) (value * 1e6));
+        } catch (NumberFormatException e) {
+            // told below, as one out of range is
+        }
+        throw new BadInputException("no time: '" + millis + "'");
+    }
+
+    private static int bodyLength(Slice line) {
+        List<String> words = line.words();
+        boolean counted = words.get(0).equals("complete") && words.size() == 6
+            || words.get(0).equals("ask") && words.size() == 4;
+        if (!counted) return Frames.NONE;
+        return (int) Math.min(number(words.get(words.size() - 1)), Integer.MAX_VALUE);
+    }
+
+    /** One link, from its connection to its end. */
+    private final class End implements Receiver {
+        private final Connection mine;
+        private final Frames frames = new Frames(LONGEST, true, Link::bodyLength);
+
+        End(Connection mine) {
+            this.mine = mine;
+            schedule.post(this::opened);
+        }
+
+        private void opened() {
+            if (closing || !mine.open()) return;
+            connection = mine;
+            mine.write("hello " + lastNotice + "\r\n");
+        }
+
+        @Override
+        public Runnable received(byte[] bytes, int from, int to) {
+            List<Runnable> work = new ArrayList<>();
+            frames.read(bytes, from, to, (line, body) -> {
+                List<String> words = line.words();
+                byte[] kept = body.copy(); // results outlive the buffer: they wait for repeats
+                work.add(() -> notice(words, kept));
+            });
+            return () -> {
+                if (connection != mine) return;
+                try {
+                    work.forEach(Runnable::run);
+                } catch (BadInputException | IndexOutOfBoundsException | NumberFormatException e) {
+                    LOG.warning("bad input from the processor: " + e.getMessage());
+                    mine.drop(CloseCode.BAD_INPUT);
+                }
+            };
+        }
+
+        private void notice(List<String> words, byte[] body) {
+            switch (words.get(0)) {
+                case "hi" -> {
+                    up.accept(words.get(1).equals("chilly"), span(words.get(2)));
+                    mine.write("usage " + FENCE + "\r\n");
+                }
+                case "complete" -> {
+                    if (isNew(number(words.get(1)))) ended(words.get(2), words.get(3), span(words.get(4)), body);
+                }
+                case "ask" -> {
+                    if (isNew(number(words.get(1)))) call(words.get(2), body);
+                }
+                case "used" -> {
+                    gauging.told(words.subList(2, words.size()), schedule.now());
+                    if (words.get(1).equals(FENCE)) caughtUp();
+                }
+                case "tried" -> {
+                    Consumer<Boolean> then = trials.remove(words.get(1));
+                    if (then != null) then.accept(words.get(2).equals("complete"));
+                }
+                case "reject" -> rejected(words.get(1), words.get(2));
+                case "remark" -> isNew(number(words.get(1)));
+                default -> throw new BadInputException("unknown notice '" + words.get(0) + "'");
+            }
+        }
+
+        private void ended(String rid, String how, Duration took, byte[] result) {
+            Run run = runs.remove(rid);
+            if (run != null) run.then.accept(new Run.End(how, took, result));
+        }
+
+        private void call(String rid, byte[] body) {
+            Run run = runs.get(rid);
+            if (run == null) return;
+            run.reply = null;
+            asked.accept(rid, body);
+        }
+
+        /** A begin that is not carried out never ran; other commands may come too late and then do nothing. */
+        private void rejected(String command, String rid) {
+            LOG.warning("the processor rejects " + command + " of " + rid);
+            if (command.equals("begin")) ended(rid, "unknown", Duration.ZERO, new byte[0]);
+        }
+
+        @Override
+        public void inputEnded() {
+            mine.drop(CloseCode.PEER_CLOSED);
+        }
+
+        @Override
+        public void ended(CloseCode code) {
+            if (connection == mine) {
+                connection = null;
+                ready = false;
+                List<Consumer<Boolean>> waiting = new ArrayList<>(trials.values());
+                trials.clear();
+                waiting.forEach(then -> then.accept(false));
+            }
+            if (connection == null && !closing) schedule.after(AGAIN, Link.this::connect);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/records/package-info.java
@@ -0,0 +1,2 @@
+/** Calls to the records service: made, waited for with patience, given up. */
+package ochretiller.records;
--- /dev/null
+++ b/src/main/java/ochretiller/settings/Nested.java
@@ -0,0 +1,39 @@
+package ochretiller.settings;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** Nested JSON by the paths that the simulator's wire uses for the same settings. */
+public final class Nested implements Lookup {
+    private final Map<String, String> values = new HashMap<>();
+
+    public Nested(Map<String, Object> object) {
+        put("", object);
+    }
+
+    private void put(String path, Object value) {
+        if (value instanceof Map<?, ?> object) {
+            object.forEach((name, member) -> put(path.isEmpty() ? "" + name : path + "." + name, member));
+        } else if (value instanceof List<?> list) {
+            putList(path, list);
+        } else {
+            values.put(path, value.toString());
+        }
+    }
+
+    /** A list of plain values is one text; a list of objects has a count and its items. */
+    private void putList(String path, List<?> list) {
+        if (list.stream().noneMatch(item -> item instanceof Map || item instanceof List)) {
+            values.put(path, list.stream().map(Object::toString).collect(Collectors.joining(",")));
+        }
+        values.put(path + ".count", "" + list.size());
+        for (int i = 0; i < list.size(); i++) put(path + "." + i, list.get(i));
+    }
+
+    @Override
+    public String find(String name) {
+        return values.get(name);
+    }
+}
--- a/src/main/java/ochretiller/sim/Settings.java
+++ b/src/main/java/ochretiller/settings/Settings.java
@@ -1,4 +1,4 @@
-package ochretiller.sim;
+package ochretiller.settings;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,11 +14,11 @@
 import ochretiller.model.TenantId;
 
 /** Decodes the settings of one start into the parts of the decisions, each with its own few. */
-final class Settings {
+public final class Settings {
     private Settings() {
     }
 
-    static Map<String, Operation> operations(Fields settings) {
+    public static Map<String, Operation> operations(Lookup settings) {
         Map<String, Operation> operations = new LinkedHashMap<>();
         for (int i = 0; i < settings.whole("classes.count", 0); i++) {
             String at = "classes." + i + ".";
@@ -37,20 +37,20 @@
         return operations;
     }
 
-    private static String item(Fields settings, String list, int index) {
+    private static String item(Lookup settings, String list, int index) {
         String[] items = settings.text(list, "").split(",");
         return index < items.length && !items[index].isEmpty() ? items[index] : "0";
     }
 
-    static Choice choice(Fields settings, Map<String, Operation> operations) {
+    /** The decisions of one server; {@code cold} where what works for it has just been started. */
+    public static Choice choice(Lookup settings, SplittableRandom chance, boolean cold) {
         int cores = (int) settings.whole("familyInfo.cpus");
         int peers = (int) settings.whole("peersTotal", 1);
         double memoryKb = settings.number("familyInfo.memoryKb", Double.MAX_VALUE);
-        SplittableRandom chance = new SplittableRandom(settings.whole("prng"));
         return new Choice(
             new Choice.TokenTable(settings.number("familyInfo.keyKb", 0), memoryKb),
             new Choice.RunLimit(cores, settings.number("guarantees.fallMultiple", 1),
-                settings.flag("familyInfo.justStarted") ? settings.number("guarantees.coldShare", 1) : 1,
+                cold ? settings.number("guarantees.coldShare", 1) : 1,
                 settings.span("guarantees.coldNs", Duration.ZERO),
                 !settings.text("familyInfo.halt", "silent").equals("silent")),
             new Choice.Hold(tenants(settings), peers, settings.number("overShareWorth", 1),
@@ -66,7 +66,7 @@
                 settings.span("familyInfo.idleNs", Duration.ZERO), chance));
     }
 
-    private static Advert advert(Fields settings) {
+    private static Advert advert(Lookup settings) {
         return switch (settings.text("familyInfo.advert", "silent")) {
             case "threshold" -> Advert.LEVEL;
             case "window" -> Advert.WINDOW;
@@ -75,7 +75,7 @@
         };
     }
 
-    private static List<Tenant> tenants(Fields settings) {
+    private static List<Tenant> tenants(Lookup settings) {
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < settings.whole("tenants.count", 0); i++) {
             String at = "tenants." + i + ".";
--- /dev/null
+++ b/src/main/java/ochretiller/settings/package-info.java
@@ -0,0 +1,2 @@
+/** One reading of the settings of a start, whatever form they came in. */
+package ochretiller.settings;
--- a/src/main/java/ochretiller/sim/Fields.java
+++ b/src/main/java/ochretiller/sim/Fields.java
@@ -1,11 +1,12 @@
 package ochretiller.sim;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import ochretiller.settings.Lookup;
+import ochretiller.settings.MalformedException;
 
 /** The name=value parts of one line, or the settings of one instance, read by name. */
-final class Fields {
+final class Fields implements Lookup {
     private final Map<String, String> values = new HashMap<>();
 
     /** Reads what follows the message name; names that nobody asks for are skipped. */
@@ -39,52 +40,8 @@
         values.put(part.substring(0, at), part.substring(at + 1));
     }
 
-    boolean has(String name) {
-        return !text(name, "").isEmpty();
-    }
-
-    String text(String name) {
-        String value = values.get(name);
-        if (value == null) {
-            throw new MalformedException("no value for " + name);
-        }
-        return value;
-    }
-
-    String text(String name, String otherwise) {
-        return values.getOrDefault(name, otherwise);
-    }
-
-    long whole(String name) {
-        String value = text(name);
-        try {
-            return Long.parseLong(value);
-        } catch (NumberFormatException e) {
-            throw new MalformedException(name + " is no whole number: '" + value + "'");
-        }
-    }
-
-    long whole(String name, long otherwise) {
-        return has(name) ? whole(name) : otherwise;
-    }
-
-    double number(String name, double otherwise) {
-        if (!has(name)) {
-            return otherwise;
-        }
-        try {
-            return Double.parseDouble(text(name));
-        } catch (NumberFormatException e) {
-            throw new MalformedException(name + " is no number: '" + text(name) + "'");
-        }
-    }
-
-    Duration span(String name, Duration otherwise) {
-        return has(name) ? Duration.ofNanos(whole(name)) : otherwise;
-    }
-
-    boolean flag(String name) {
-        String value = text(name, "0");
-        return value.equals("1") || value.equals("true");
+    @Override
+    public String find(String name) {
+        return values.get(name);
     }
 }
--- a/src/main/java/ochretiller/sim/Instance.java
+++ b/src/main/java/ochretiller/sim/Instance.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.Function;
 import ochretiller.Choice;
 import ochretiller.model.CallEnd;
@@ -15,6 +16,8 @@
 import ochretiller.model.TenantId;
 import ochretiller.server.Server;
 import ochretiller.server.Step;
+import ochretiller.settings.MalformedException;
+import ochretiller.settings.Settings;
 
 /** One server's end of the wire: what it hears goes to its decisions, what they do is written down. */
 final class Instance implements Server {
@@ -36,7 +39,8 @@
         this.start = start;
         operations = Settings.operations(settings);
         passesDeadline = settings.flag("familyInfo.passesDeadline");
-        choice = Settings.choice(settings, operations);
+        choice = Settings.choice(settings, new SplittableRandom(settings.whole("prng")),
+            settings.flag("familyInfo.justStarted"));
         choice.started().act(this);
     }
 
--- a/src/main/java/ochretiller/sim/SimHost.java
+++ b/src/main/java/ochretiller/sim/SimHost.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import ochretiller.settings.MalformedException;
 
 /** Hosts one instance of the decisions for each server that the simulator names, and answers its batches. */
 public final class SimHost {
--- /dev/null
+++ b/src/main/java/ochretiller/text/Json.java
@@ -0,0 +1,199 @@
+package ochretiller.text;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.CodingErrorAction;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads JSON into maps, lists, strings, whole numbers as Long, other numbers as Double, Booleans and NULL. */
+public final class Json {
+    /** JSON's null, which a map tells apart from a member that is absent. */
+    public static final Object NULL = new Object() {
+        @Override
+        public String toString() {
+            return "null";
+        }
+    };
+    /** Guards against a stack that runs over on nested brackets. */
+    private static final int DEEPEST = 32;
+
+    private final byte[] bytes;
+    private final int end;
+    private int at;
+    private int depth;
+    /** The members of the outermost object that were read whole. */
+    private final Map<String, Object> members = new LinkedHashMap<>();
+
+    public Json(Slice text) {
+        bytes = text.bytes();
+        at = text.from();
+        end = text.to();
+    }
+
+    /** The one value that the text holds. */
+    public Object read() {
+        Object value = value();
+        skipBlanks();
+        if (at < end) throw bad("more behind the value");
+        return value;
+    }
+
+    /** What was read of the outermost object, whole or not. */
+    public Map<String, Object> members() {
+        return members;
+    }
+
+    private BadInputException bad(String what) {
+        return new BadInputException(what + " at byte " + at);
+    }
+
+    private void skipBlanks() {
+        while (at < end && (bytes[at] == ' ' || bytes[at] == '\t' || bytes[at] == '\r' || bytes[at] == '\n')) at++;
+    }
+
+    private int next() {
+        skipBlanks();
+        return at < end ? bytes[at] : 0;
+    }
+
+    private void take(char wanted) {
+        if (next() != wanted) throw bad("no '" + wanted + "'");
+        at++;
+    }
+
+    private Object value() {
+        switch (next()) {
+            case '{':
+                return object();
+            case '[':
+                return list();
+            case '"':
+                return string();
+            case 't':
+                return word("true", Boolean.TRUE);
+            case 'f':
+                return word("false", Boolean.FALSE);
+            case 'n':
+                return word("null", NULL);
+            default:
+                return number();
+        }
+    }
+
+    private Object word(String word, Object meaning) {
+        for (int i = 0; i < word.length(); i++, at++) {
+            if (at >= end || bytes[at] != word.charAt(i)) throw bad("unknown word");
+        }
+        return meaning;
+    }
+
+    private void enter() {
+        if (++depth > DEEPEST) throw bad("nested too deep");
+        at++;
+    }
+
+    private void leave() {
+        depth--;
+        at++;
+    }
+
+    private Map<String, Object> object() {
+        Map<String, Object> object = depth == 0 ? members : new LinkedHashMap<>();
+        enter();
+        for (boolean first = true; next() != '}'; first = false) {
+            if (!first) take(',');
+            if (next() != '"') throw bad("no name");
+            String name = string();
+            take(':');
+            object.put(name, value());
+        }
+        leave();
+        return object;
+    }
+
+    private List<Object> list() {
+        List<Object> list = new ArrayList<>();
+        enter();
+        for (boolean first = true; next() != ']'; first = false) {
+            if (!first) take(',');
+            list.add(value());
+        }
+        leave();
+        return list;
+    }
+
+    private String string() {
+        int from = ++at;
+        boolean plain = true;
+        while (at < end && bytes[at] != '"') {
+            if (bytes[at] >= 0 && bytes[at] < ' ') throw bad("a control character in a string");
+            plain &= bytes[at] > 0 && bytes[at] != '\\';
+            at += bytes[at] == '\\' ? 2 : 1;
+        }
+        if (at >= end) throw bad("a string without its end");
+        String raw = plain ? new String(bytes, from, at - from, StandardCharsets.ISO_8859_1) : decoded(from);
+        at++;
+        return raw;
+    }
+
+    private String decoded(int from) {
+        String raw;
+        try {
+            raw = StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)
+                .decode(ByteBuffer.wrap(bytes, from, at - from)).toString();
+        } catch (CharacterCodingException e) {
+            throw bad("a string that is not UTF-8");
+        }
+        if (raw.indexOf('\\') < 0) return raw;
+        StringBuilder out = new StringBuilder(raw.length());
+        for (int i = 0; i < raw.length(); i++) {
+            char c = raw.charAt(i);
+            if (c != '\\') {
+                out.append(c);
+                continue;
+            }
+            char escape = raw.charAt(++i);
+            int plain = "\"\\/bfnrt".indexOf(escape);
+            if (plain >= 0) {
+                out.append("\"\\/\b\f\n\r\t".charAt(plain));
+            } else if (escape == 'u' && raw.length() >= i + 5 && raw.substring(i + 1, i + 5).matches("[0-9a-fA-F]+")) {
+                out.append((char) Integer.parseInt(raw.substring(i + 1, i + 5), 16));
+                i += 4;
+            } else {
+                throw bad("unknown escape");
+            }
+        }
+        return out.toString();
+    }
+
+    private boolean digits() {
+        int from = at;
+        while (at < end && bytes[at] >= '0' && bytes[at] <= '9') at++;
+        return at > from;
+    }
+
+    private Object number() {
+        int from = at;
+        if (at < end && bytes[at] == '-') at++;
+        int first = at;
+        if (!digits() || bytes[first] == '0' && at > first + 1) throw bad("no value");
+        boolean whole = true;
+        if (at < end && bytes[at] == '.') {
+            at++;
+            whole = false;
+            if (!digits()) throw bad("no digits");
+        }
+        if (at < end && (bytes[at] == 'e' || bytes[at] == 'E')) {
+            at++;
+            whole = false;
+            if (at < end && (bytes[at] == '+' || bytes[at] == '-')) at++;
+            if (!digits()) throw bad("no digits");
+        }
+        String text = new String(bytes, from, at - from, StandardCharsets.ISO_8859_1);
+        return whole && text.length() < 19 ? (Object) Long.valueOf(text) : (Object) Double.valueOf(text);
+    }
+}
