Log through the drain; start without the command line's classes; first integration tests

Seen: no line of a drain in any log. Cause: the standard LogManager closes its handlers in a shutdown hook of its own; one that keeps them must be named before the first logger, by a class that is not itself a manager. Bounds counted for the worst case: 640 connections x 4 buffers of 8 KiB unread, 8 MiB unwritten together.

--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -2,8 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.Callable;
 import ochretiller.node.Configuration;
-import ochretiller.node.KeptLogs;
+import ochretiller.node.Logs;
 import ochretiller.node.Node;
 import ochretiller.settings.MalformedException;
 import ochretiller.sim.SimHost;
@@ -17,6 +18,7 @@
 public final class Main implements Runnable {
     private static final int FAILED = 1;
     private static final int WRONG = 2;
+    private static final String CONFIG = "The configuration; by default the file that EDGE_CONFIG names.";
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -25,13 +27,24 @@
     }
 
     public static void main(String[] args) {
+        // Guards against a start that takes its core from other servers: the command line's classes come too old for
+        // class-data sharing and cost as much as all the rest.
+        if (args.length == 1 && args[0].equals("serve")) System.exit(told(() -> serve(null)));
         CommandLine line = new CommandLine(new Main());
-        line.setExecutionExceptionHandler((fault, command, parsed) -> {
-            command.getErr().println("ochretiller: " + fault.getMessage());
-            return fault instanceof MalformedException ? WRONG : FAILED;
-        });
-        int code = line.execute(args);
-        if (code >= 0) System.exit(code);
+        line.setExecutionExceptionHandler((fault, command, parsed) -> told(() -> {
+            throw fault;
+        }));
+        System.exit(line.execute(args));
+    }
+
+    /** The exit code; what went wrong is told in one line. */
+    private static int told(Callable<Integer> work) {
+        try {
+            return work.call();
+        } catch (Exception e) {
+            System.err.println("ochretiller: " + e.getMessage());
+            return e instanceof MalformedException ? WRONG : FAILED;
+        }
     }
 
     @Override
@@ -56,9 +69,8 @@
 
     @Command(name = "serve", description = "Serve as one server until SIGTERM and the drain that follows.",
         mixinStandardHelpOptions = true)
-    int serve(@Option(names = "--config", description = "The configuration; by default the file that EDGE_CONFIG names.")
-              Path file) throws IOException {
-        KeptLogs.install();
+    static int serve(@Option(names = "--config", description = CONFIG) Path file) throws IOException {
+        Logs.install();
         Node node = new Node(configuration(file));
         node.listen();
         // The exit code of a drain is 0; without the halt it would be the signal's.
@@ -76,20 +88,19 @@
 
     @Command(name = "check", description = "Check a configuration as serve does, without listening.",
         mixinStandardHelpOptions = true)
-    int check(@Option(names = "--config", description = "The configuration; by default the file that EDGE_CONFIG names.")
-              Path file) {
+    static int check(@Option(names = "--config", description = CONFIG) Path file) {
         System.out.println("the configuration of " + configuration(file).name() + " is good");
         return 0;
     }
 
     @Command(name = "simhost", description = "Serve the simulator's wire on standard input and output.",
         mixinStandardHelpOptions = true)
-    int simhost() throws IOException {
+    static int simhost() throws IOException {
         return SimHost.serve(System.in, System.out, System.err);
     }
 
     @Command(name = "version", description = "Print the version.")
-    int version() {
+    static int version() {
         System.out.println(new Version().getVersion()[0]);
         return 0;
     }
--- a/src/main/java/ochretiller/gateway/Gateway.java
+++ b/src/main/java/ochretiller/gateway/Gateway.java
@@ -23,8 +23,8 @@
     private static final Logger LOG = Logger.getLogger(Gateway.class.getName());
     /** Requests that may be open on one connection. */
     private static final int OPEN = 32;
-    /** Connections over the limit that are still read, so that health checks get in. */
-    private static final int SURPLUS = 32;
+    /** Part of the limit by which it may be passed, so that health checks still get in. */
+    private static final int SURPLUS = 4;
     /** How often silent connections are looked for. */
     private static final Duration SWEEP = Duration.ofMillis(100);
 
@@ -69,7 +69,7 @@
     public Receiver accepted(Connection connection) {
         int now = accepted.incrementAndGet();
         Peer peer = new Peer(connection, now > limit, this);
-        if (now > limit + SURPLUS) connection.drop(CloseCode.TOO_MANY);
+        if (now > limit + limit / SURPLUS) connection.drop(CloseCode.TOO_MANY);
         schedule.post(() -> {
             peers.add(peer);
             if (leaving) connection.write(Rpc.SHUTDOWN);
--- a/src/main/java/ochretiller/net/Connection.java
+++ b/src/main/java/ochretiller/net/Connection.java
@@ -9,10 +9,13 @@
 
 /** A connection as the one thread sees it: what is written in one gathering goes out in one write. */
 public final class Connection {
-    /** Bytes that may wait for a peer to read them: some dozen of the longest answers. */
-    private static final long UNREAD = 256 * 1024;
-    /** Gatherings that may wait here before nothing more is read from the peer. */
-    private static final int BEHIND = 16;
+    /** Bytes that may wait for one peer to read them: the longest answer to each request it may have open. */
+    private static final long UNREAD = 192 * 1024;
+    /** The like for all peers together, and what each may have of it whatever the others do. */
+    private static final long ALL_UNREAD = 8 * 1024 * 1024;
+    private static final long SOME_UNREAD = 16 * 1024;
+    /** Buffers that may wait for the one thread before nothing more is read from the peer. */
+    private static final int BEHIND = 4;
 
     private final IoSession session;
     private final Network network;
@@ -67,7 +70,8 @@
     void flush() {
         if (code != null || out.size() == 0) return;
         // Guards against a peer that does not read and would fill the memory.
-        if (session.getScheduledWriteBytes() + out.size() > UNREAD) {
+        long unread = session.getScheduledWriteBytes() + out.size();
+        if (unread > UNREAD || unread > SOME_UNREAD && network.unread() > ALL_UNREAD) {
             reason(CloseCode.NOT_READING);
             session.closeNow();
             return;
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -26,7 +26,7 @@
 public final class Network {
     private static final Logger LOG = Logger.getLogger(Network.class.getName());
     /** Bytes read at once: a few of the longest messages. */
-    private static final int READ = 16 * 1024;
+    private static final int READ = 8 * 1024;
     private static final int FIRST_READ = 4 * 1024;
     private static final int BACKLOG = 1024;
     private static final long CONNECT_MS = 2_000;
@@ -89,6 +89,11 @@
         dirty.add(connection);
     }
 
+    /** Bytes that peers have not read yet. */
+    long unread() {
+        return acceptor == null ? 0 : acceptor.getScheduledWriteBytes();
+    }
+
     /** Writes out what a gathering has left, one write for each connection. */
     public void flush() {
         if (dirty.isEmpty()) return;
--- a/src/test/java/ochretiller/Fixture.java
+++ b/src/test/java/ochretiller/Fixture.java
@@ -1,5 +1,19 @@
 package ochretiller;
 
+import java.io.BufferedInputStream;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,7 +21,13 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import java.util.regex.Pattern;
 import ochretiller.model.*;
 import ochretiller.server.Server;
 import ochretiller.server.Step;
@@ -122,4 +142,239 @@
     @Override public void idleAfter(Duration span) { said.add("idle " + span); }
 
     @Override public void note(String text) { said.add(text); }
+
+    /** A socket of a stand-in: text lines and counted bytes, all within a bounded time. */
+    static final class Wire implements AutoCloseable {
+        private final Socket socket;
+        private final InputStream in;
+
+        Wire(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(10_000);
+            socket.setTcpNoDelay(true);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        Wire send(String text) throws IOException {
+            return send(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        Wire send(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+            return this;
+        }
+
+        /** The next line without its end, or null once the connection has ended. */
+        String line() throws IOException {
+            StringBuilder line = new StringBuilder();
+            try {
+                for (int c = in.read(); c != '\n'; c = in.read()) {
+                    if (c < 0) return null;
+                    if (c != '\r') line.append((char) c);
+                }
+            } catch (SocketException e) {
+                return null; // a reset ends it too
+            }
+            return line.toString();
+        }
+
+        String bytes(int length) throws IOException {
+            String text = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+            in.readNBytes(2);
+            return text;
+        }
+
+        void halfClose() throws IOException { socket.shutdownOutput(); }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        @Override public void close() throws IOException { socket.close(); }
+    }
+
+    /** The packaged program with small stand-ins for processor, records service and roster, written from their page. */
+    static final class Deployment implements AutoCloseable {
+        private static final Pattern OPTION = Pattern.compile(" (-X\\S+)");
+        final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> reports = new LinkedBlockingQueue<>();
+        final ServerSocket processor = open();
+        ServerSocket records = open();
+        volatile Wire link;
+        volatile Wire calls;
+        /** What the processor says behind its greeting. */
+        volatile String greeting = "hi hot 3600000\r\n";
+        private final DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        private final int port = freePort();
+        private final AtomicLong notices = new AtomicLong();
+        private final Process process;
+
+        Deployment() throws IOException { this(json -> json); }
+
+        Deployment(UnaryOperator<String> change) throws IOException {
+            Path config = Files.createTempFile("node", ".json");
+            Files.writeString(config, change.apply(config()));
+            process = start(config, "serve");
+            Files.delete(awaitRead(config));
+        }
+
+        /** The configuration's file may go once the server listens or has ended. */
+        private Path awaitRead(Path config) {
+            daemon(() -> {
+                try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
+                    for (String line = lines.readLine(); line != null; line = lines.readLine()) log.add(line);
+                }
+            });
+            daemon(() -> {
+                while (true) serveProcessor(new Wire(processor.accept()));
+            });
+            daemon(() -> {
+                while (true) serveRecords(new Wire(records.accept()));
+            });
+            daemon(() -> {
+                while (true) {
+                    DatagramPacket packet = new DatagramPacket(new byte[100], 100);
+                    roster.receive(packet);
+                    reports.add(new String(packet.getData(), 0, packet.getLength(), StandardCharsets.US_ASCII));
+                }
+            });
+            await(log, "listens|ochretiller: ");
+            return config;
+        }
+
+        static ServerSocket open() throws IOException {
+            return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        }
+
+        private static int freePort() throws IOException {
+            try (ServerSocket free = open()) {
+                return free.getLocalPort();
+            }
+        }
+
+        private interface Work {
+            void run() throws IOException;
+        }
+
+        private static void daemon(Work work) {
+            Thread thread = new Thread(() -> {
+                try {
+                    work.run();
+                } catch (IOException e) {
+                    // its socket was closed: the test is over
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        /** The program with the flags that operators give it. */
+        static Process start(Path config, String... words) throws IOException {
+            List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+            OPTION.matcher(Files.readString(Path.of("deploy/balancer.toml"))).results()
+                .forEach(option -> command.add(option.group(1)));
+            command.addAll(List.of("-jar", "target/ochretiller.jar"));
+            command.addAll(List.of(words));
+            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+            builder.environment().remove("EDGE_CONFIG");
+            if (config != null) builder.environment().put("EDGE_CONFIG", config.toString());
+            return builder.start();
+        }
+
+        private String config() {
+            return """
+                {"name":"n1","listen":"127.0.0.1:%d","processor":"127.0.0.1:%d","records":"127.0.0.1:%d",
+                 "roster":"127.0.0.1:%d","seed":"8c1f30d27a5be964","stop_ms":1500,
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+                 "settings":{"classes":[
+                   {"name":"read","effect":"pure","aimNs":2000000000,"giveUpNs":4000000000,"importance":1},
+                   {"name":"order","effect":"token","aimNs":2000000000,"giveUpNs":4000000000,"importance":3,
+                    "windowNs":10000000000}],
+                  "familyInfo":{"cpus":2,"memoryKb":50000,"runFactor":10,"keyKb":10,"callsOut":4,
+                   "callsByClass":[true,true],"degradedWorth":[0,0],"meters":["core_use","on_cores","heap_share","links"],
+                   "idleNs":5000000000,"halt":"abort","advert":"window","callers":2,"shareSpanNs":1000000000},
+                  "guarantees":{"fallMultiple":5,"stopSendingWithinNs":300000000},"unknown":{"more":[1,{}]},
+                  "permissions":{"retryAfter":true,"maxRetryAfterNs":1000000000}}}
+                """.formatted(port, processor.getLocalPort(), records.getLocalPort(), roster.getLocalPort());
+        }
+
+        Wire dial() throws IOException { return new Wire(new Socket(InetAddress.getLoopbackAddress(), port)); }
+
+        private void serveProcessor(Wire wire) throws IOException {
+            for (String line = wire.line(); line != null; line = wire.line()) {
+                String[] words = line.split(" ");
+                if (words[0].equals("hello")) {
+                    link = wire;
+                    wire.send(greeting);
+                } else if (words[0].equals("usage")) {
+                    wire.send("used " + words[1] + " 0.1 0 0.1 1\r\n");
+                    continue;
+                } else if (words[0].equals("begin")) {
+                    String body = wire.bytes(Integer.parseInt(words[3]));
+                    if (body.equals("good")) complete(words[1], "result of " + words[1]);
+                    if (body.equals("bad")) notice("complete", words[1] + " error 5 0\r\n\r\n");
+                    if (body.startsWith("call ")) notice("ask", words[1] + " " + body.length() + "\r\n" + body + "\r\n");
+                } else if (words[0].equals("answer")) {
+                    complete(words[1], "after " + wire.bytes(Integer.parseInt(words[2])));
+                }
+                heard.add(line);
+            }
+        }
+
+        /** Says the next notice on the link. */
+        void notice(String verb, String rest) throws IOException {
+            link.send(verb + " " + notices.incrementAndGet() + " " + rest);
+        }
+
+        void complete(String rid, String result) throws IOException {
+            notice("complete", rid + " complete 5 " + result.length() + "\r\n" + result + "\r\n");
+        }
+
+        private void serveRecords(Wire wire) throws IOException {
+            calls = wire;
+            for (String line = wire.line(); line != null; line = wire.line()) {
+                heard.add(line);
+                String[] words = line.split(" ");
+                if (!words[0].equals("OP")) continue;
+                String ending = wire.bytes(Integer.parseInt(words[3])).substring("call ".length());
+                if (ending.equals("DONE")) wire.send(words[1] + " DONE 5\r\nreply\r\n");
+                else if (ending.equals("cut")) wire.reset();
+                else if (!ending.equals("silence")) wire.send(words[1] + " " + ending + "\r\n");
+            }
+        }
+
+        /** The first entry that matches, others passed over; a failure after ten seconds without one. */
+        static String await(BlockingQueue<String> queue, String pattern) {
+            Pattern wanted = Pattern.compile(pattern);
+            long until = System.nanoTime() + 10_000_000_000L;
+            List<String> passed = new ArrayList<>();
+            try {
+                for (String next; (next = queue.poll(until - System.nanoTime(), TimeUnit.NANOSECONDS)) != null;) {
+                    if (wanted.matcher(next).find()) return next;
+                    passed.add(next);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            throw new AssertionError("no '" + pattern + "' among " + passed);
+        }
+
+        /** SIGTERM; the exit code follows from {@link #exit}. */
+        void terminate() { process.toHandle().destroy(); } // Process.destroy would close the log too
+
+        int exit() throws InterruptedException {
+            if (!process.waitFor(10, TimeUnit.SECONDS)) throw new AssertionError("still runs");
+            return process.exitValue();
+        }
+
+        @Override
+        public void close() throws IOException {
+            process.destroyForcibly();
+            processor.close();
+            records.close();
+            roster.close();
+        }
+    }
 }
