--- a/src/main/java/ochretiller/gateway/Gateway.java
+++ b/src/main/java/ochretiller/gateway/Gateway.java
@@ -201,7 +201,9 @@
     private void sweep() {
         schedule.after(SWEEP, this::sweep);
         for (Peer peer : new ArrayList<>(peers)) {
-            if (!peer.busy() && schedule.now().minus(peer.connection.usedAt()).compareTo(idleAfter) > 0) {
+            // Guards against a close that loses what was just read and is not worked off yet.
+            boolean quiet = !peer.busy() && peer.connection.quiet();
+            if (quiet && schedule.now().minus(peer.connection.usedAt()).compareTo(idleAfter) > 0) {
                 peer.connection.close(CloseCode.IDLE);
             }
         }
--- a/src/main/java/ochretiller/gateway/Peer.java
+++ b/src/main/java/ochretiller/gateway/Peer.java
@@ -1,6 +1,8 @@
 package ochretiller.gateway;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import ochretiller.net.CloseCode;
 import ochretiller.net.Connection;
@@ -29,16 +31,9 @@
 
     @Override
     public Runnable received(byte[] bytes, int from, int to) {
-        Runnable[] work = new Runnable[1];
-        frames.read(bytes, from, to, (line, body) -> {
-            Rpc.Message message = Rpc.read(line);
-            Runnable before = work[0];
-            work[0] = before == null ? () -> gateway.read(this, message) : () -> {
-                before.run();
-                gateway.read(this, message);
-            };
-        });
-        return work[0];
+        List<Rpc.Message> messages = new ArrayList<>(1);
+        frames.read(bytes, from, to, (line, body) -> messages.add(Rpc.read(line)));
+        return messages.isEmpty() ? null : () -> messages.forEach(message -> gateway.read(this, message));
     }
 
     boolean busy() {
--- a/src/main/java/ochretiller/net/Connection.java
+++ b/src/main/java/ochretiller/net/Connection.java
@@ -98,6 +98,11 @@
         if (behind.incrementAndGet() == BEHIND) session.suspendRead();
     }
 
+    /** Nothing that was read waits for the one thread. */
+    public boolean quiet() {
+        return behind.get() == 0;
+    }
+
     void worked() {
         if (behind.getAndDecrement() == BEHIND) session.resumeRead();
     }
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Function;
@@ -36,6 +37,7 @@
     private final NioProcessor processor = new NioProcessor(threads);
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
     private final Set<Connection> dirty = new LinkedHashSet<>();
+    private final Set<InetSocketAddress> refusing = ConcurrentHashMap.newKeySet();
     private NioSocketAcceptor acceptor;
 
     public Network(Schedule schedule) {
@@ -78,8 +80,11 @@
         ConnectFuture connecting = connector.connect(address, (session, future) ->
             session.setAttribute(Function.class, receivers));
         connecting.addListener((IoFutureListener<ConnectFuture>) future -> {
-            if (!future.isConnected()) {
-                LOG.info(() -> "connection link " + address + " ended: " + CloseCode.REFUSED);
+            if (future.isConnected()) {
+                refusing.remove(address);
+            } else {
+                // One line for a row of tries: who is down is asked again and again.
+                if (refusing.add(address)) LOG.info(() -> "connection link " + address + " ended: " + CloseCode.REFUSED);
                 schedule.post(failed);
             }
         });
--- a/src/main/java/ochretiller/processor/Link.java
+++ b/src/main/java/ochretiller/processor/Link.java
@@ -23,8 +23,8 @@
 public final class Link {
     private static final Logger LOG = Logger.getLogger(Link.class.getName());
     private static final Duration AGAIN = Duration.ofMillis(100);
-    /** Nothing follows faster than this: a gauge looks back half a second. */
-    private static final Duration GAUGES = Duration.ofMillis(50);
+    /** Gauges are asked for at most so often: they look back half a second. */
+    private static final Duration GAUGES = Duration.ofMillis(80);
     private static final int LONGEST = 64 * 1024;
     private static final String FENCE = "fence";
 
@@ -145,10 +145,13 @@
         gap = false;
     }
 
-    /** True once for each number; a number left out tells that notices are lost for good. */
+    /** True once for each number. One left out is asked for again by a new link; there, it is lost for good. */
     private boolean isNew(long number) {
         if (number <= lastNotice) return false;
-        gap |= number > lastNotice + 1;
+        if (number > lastNotice + 1) {
+            if (ready) throw new BadInputException("notice " + number + " behind " + lastNotice);
+            gap = true;
+        }
         lastNotice = number;
         return true;
     }
