--- a/src/main/java/ochretiller/gateway/Gateway.java
+++ b/src/main/java/ochretiller/gateway/Gateway.java
@@ -115,14 +115,15 @@
 
     /** The caller waits no longer; what is unknown or answered was answered as the word went out. */
     private void abort(Peer peer, Rpc.Message message) {
-        Object named = message.params().getOrDefault("id", message.id());
+        boolean byRid = message.params().containsKey("rid");
+        Object named = message.params().getOrDefault("id", byRid ? null : message.id());
         Try inv = peer.open.get(named);
         if (inv == null && message.params().get("rid") instanceof String rid) {
             inv = tries.get(rid);
             if (inv != null && inv.peer != peer) inv = null;
         }
         if (inv != null) leave(inv);
-        else if (!(named instanceof Long) && !message.params().containsKey("rid")) {
+        else if (!(named instanceof Long) && !byRid) {
             throw new RpcException(RpcException.PARAMS, "missing or wrong: id");
         }
         if (message.id() != null && !message.id().equals(named)) peer.connection.write(Rpc.done(message.id()));
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -178,8 +178,8 @@
             connection.reason(CloseCode.PEER_CLOSED);
             schedule.post(() -> {
                 CloseCode code = connection.code();
-                LOG.info(() -> "connection " + kind + " " + connection.peer() + " ended: " + code);
                 receiver.ended(code);
+                LOG.info(() -> "connection " + kind + " " + connection.peer() + " ended: " + code);
             });
         }
 
--- a/src/main/java/ochretiller/processor/Gauging.java
+++ b/src/main/java/ochretiller/processor/Gauging.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import ochretiller.model.Gauges;
-import ochretiller.settings.MalformedException;
+import ochretiller.text.BadInputException;
 
 /** The gauges as last told, by the names that the settings give them. */
 final class Gauging {
@@ -20,7 +20,7 @@
 
     /** The words of a notice, from the first figure on. */
     void told(List<String> figures, Duration now) {
-        if (figures.size() < names.size()) throw new MalformedException("too few gauges");
+        if (figures.size() < names.size()) throw new BadInputException("too few gauges");
         last = new Gauges(figure("core_use", figures), figure("on_cores", figures), figure("heap_share", figures),
             figure("links", figures));
         at = now;
--- /dev/null
+++ b/src/test/java/ochretiller/keys/KeysTest.java
@@ -0,0 +1,124 @@
+package ochretiller.keys;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import ochretiller.model.Effect;
+import ochretiller.model.InvId;
+import ochretiller.model.Operation;
+import org.junit.jupiter.api.Test;
+
+class KeysTest {
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Operation ORDER = operation("order", Effect.TOKENED);
+    private static final Operation READ = operation("read", Effect.IDEMPOTENT);
+    private final Keys keys = new Keys(10_000, SECOND);
+
+    private static Operation operation(String name, Effect effect) {
+        return new Operation(name, effect, SECOND, SECOND.multipliedBy(2), 1, 0, SECOND.multipliedBy(10), false, 0);
+    }
+
+    private static InvId id(long value) {
+        return new InvId(value);
+    }
+
+    private static Duration at(double seconds) {
+        return Duration.ofMillis((long) (seconds * 1000));
+    }
+
+    private InvId order(long id, double arrived, double now) {
+        return keys.read(id(id), ORDER, "token", null, at(arrived), at(now));
+    }
+
+    private InvId read(long id, double now) {
+        return keys.read(id(id), READ, null, "object", at(now), at(now));
+    }
+
+    private String result(long id) {
+        List<String> results = new ArrayList<>();
+        keys.result(id(id), result -> results.add(result == null ? "none" : new String(result)));
+        return results.isEmpty() ? "waits" : results.get(0);
+    }
+
+    private void ended(long id, String result, double now) {
+        keys.ended(id(id), true, result == null ? null : result.getBytes(), at(now));
+    }
+
+    @Test
+    void tryIsTiedToTheKeptOne() {
+        assertThat(order(1, 0, 0)).isNull();
+        keys.keep(id(1), ORDER, "token", at(10));
+        assertThat(order(2, 0, 0)).isEqualTo(id(1));
+    }
+
+    @Test
+    void windowCountsByArrivalHoweverLateItIsRead() {
+        keys.keep(id(1), ORDER, "token", at(10));
+        ended(1, "done", 1);
+        assertThat(order(2, 9.9, 11.5)).isEqualTo(id(1));
+        assertThat(order(3, 10, 10)).isNull();
+    }
+
+    @Test
+    void entryIsForgottenBehindItsWindow() {
+        keys.keep(id(1), ORDER, "token", at(10));
+        ended(1, "done", 1);
+        assertThat(order(2, 9.9, 12.1)).isNull();
+        assertThat(result(1)).isEqualTo("none");
+    }
+
+    @Test
+    void erasedEntryTiesNobody() {
+        keys.keep(id(1), ORDER, "token", at(10));
+        keys.erase(id(1));
+        assertThat(order(2, 0, 0)).isNull();
+    }
+
+    @Test
+    void resultIsWaitedForAndThenKept() {
+        keys.keep(id(1), ORDER, "token", at(10));
+        List<byte[]> results = new ArrayList<>();
+        keys.result(id(1), results::add);
+        assertThat(results).isEmpty();
+        ended(1, "done", 1);
+        assertThat(results).hasSize(1);
+        assertThat(result(1)).isEqualTo("done");
+    }
+
+    @Test
+    void resultThatDoesNotFitLeavesTheMark() {
+        keys.keep(id(1), ORDER, "token", at(10));
+        ended(1, "x".repeat(20_000), 1);
+        assertThat(order(2, 2, 2)).isEqualTo(id(1));
+        assertThat(result(1)).isEqualTo("none");
+    }
+
+    @Test
+    void bytesOfForgottenResultsAreFree() {
+        for (int i = 0; i < 5; i++) {
+            keys.keep(id(i), ORDER, "token" + i, at(10 + 20 * i));
+            ended(i, "x".repeat(9_000), 20 * i);
+            assertThat(result(i)).hasSize(9_000);
+            keys.read(id(100 + i), ORDER, "other", null, at(20 * i), at(19 + 20 * i));
+        }
+    }
+
+    @Test
+    void readIsTiedWhileAnotherIsNotOverOrFresh() {
+        assertThat(read(1, 0)).isNull();
+        assertThat(read(2, 0)).isEqualTo(id(1));
+        keys.ended(id(1), false, "seen".getBytes(), at(1));
+        assertThat(read(3, 1.9)).isEqualTo(id(1));
+        assertThat(result(1)).isEqualTo("seen");
+        assertThat(read(4, 2)).isNull();
+    }
+
+    @Test
+    void failedReadTiesNobody() {
+        read(1, 0);
+        keys.ended(id(1), false, null, at(1));
+        assertThat(read(2, 1)).isNull();
+    }
+}
--- /dev/null
+++ b/src/test/java/ochretiller/settings/NestedTest.java
@@ -0,0 +1,32 @@
+package ochretiller.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class NestedTest {
+    private final Lookup settings = new Nested(Map.of("count", 3L, "share", 0.5, "on", true,
+        "classes", List.of(Map.of("name", "read", "aimNs", 2_000L)), "names", List.of("a", "b"), "none", List.of()));
+
+    @Test
+    void nestedValuesHaveTheWiresPaths() {
+        assertThat(settings.whole("count")).isEqualTo(3);
+        assertThat(settings.number("share", 0)).isEqualTo(0.5);
+        assertThat(settings.flag("on")).isTrue();
+        assertThat(settings.whole("classes.count")).isEqualTo(1);
+        assertThat(settings.text("classes.0.name")).isEqualTo("read");
+        assertThat(settings.span("classes.0.aimNs", Duration.ZERO)).isEqualTo(Duration.ofNanos(2_000));
+        assertThat(settings.text("names")).isEqualTo("a,b");
+        assertThat(settings.has("none")).isFalse();
+    }
+
+    @Test
+    void wrongValueIsNamed() {
+        assertThatThrownBy(() -> settings.whole("share")).isInstanceOf(MalformedException.class).hasMessageContaining("share");
+        assertThatThrownBy(() -> settings.text("absent")).isInstanceOf(MalformedException.class).hasMessageContaining("absent");
+    }
+}
--- /dev/null
+++ b/src/test/java/ochretiller/text/FramesTest.java
@@ -0,0 +1,55 @@
+package ochretiller.text;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FramesTest {
+    private final List<String> messages = new ArrayList<>();
+    private final Frames frames = new Frames(100, true, line -> {
+        List<String> words = line.words();
+        return words.get(0).equals("body") ? Integer.parseInt(words.get(1)) : Frames.NONE;
+    });
+
+    private List<String> feed(Frames to, String text) {
+        messages.clear();
+        Slice slice = Slice.of(text);
+        to.read(slice.bytes(), slice.from(), slice.to(), (line, body) -> messages.add(line.text() + "|" + body.text()));
+        return messages;
+    }
+
+    @Test
+    void cutsLinesAndBodies() {
+        assertThat(feed(frames, "one\r\nbody 4\r\na\r\nb\r\nbody 0\r\n\r\ntwo\r\n"))
+            .containsExactly("one|", "body 4|a\r\nb", "body 0|", "two|");
+    }
+
+    @Test
+    void joinsWhatComesInPieces() {
+        List<String> all = new ArrayList<>();
+        for (char c : "one\r\nbody 4\r\na\r\nb\r\ntwo\r\n".toCharArray()) all.addAll(feed(frames, "" + c));
+        assertThat(all).containsExactly("one|", "body 4|a\r\nb", "two|");
+    }
+
+    @Test
+    void messagesOutliveWhatIsReadNext() {
+        List<Slice> kept = new ArrayList<>();
+        for (String text : List.of("fi", "rst\r\nse", "cond\r\nthi")) {
+            Slice slice = Slice.of(text);
+            frames.read(slice.bytes(), slice.from(), slice.to(), (line, body) -> kept.add(line));
+        }
+        assertThat(kept).extracting(Slice::text).containsExactly("first", "second");
+    }
+
+    @Test
+    void refusesWhatIsTooLongOrLies() {
+        assertThatThrownBy(() -> feed(new Frames(10, false, line -> Frames.NONE), "x".repeat(400)))
+            .isInstanceOf(BadInputException.class);
+        assertThatThrownBy(() -> feed(frames, "body 101\r\n")).isInstanceOf(BadInputException.class);
+        assertThatThrownBy(() -> feed(frames, "body 2\r\nabcd\r\n")).isInstanceOf(BadInputException.class);
+        assertThatThrownBy(() -> feed(frames, "line feed only\n")).isInstanceOf(BadInputException.class);
+    }
+}
