--- a/src/main/java/ochretiller/net/Connection.java
+++ b/src/main/java/ochretiller/net/Connection.java
@@ -95,7 +95,10 @@
 
     /** Guards against a peer that sends faster than the one thread works: its socket fills instead. */
     void queued() {
-        if (behind.incrementAndGet() == BEHIND) session.suspendRead();
+        if (behind.incrementAndGet() != BEHIND) return;
+        session.suspendRead();
+        // Guards against the one thread having caught up in between: nobody would read on any more.
+        if (behind.get() < BEHIND) session.resumeRead();
     }
 
     /** Nothing that was read waits for the one thread. */
