--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -66,7 +66,11 @@
         acceptor.setBacklog(BACKLOG);
         tune(acceptor.getSessionConfig());
         acceptor.setHandler(new Handler("gateway", receivers));
-        acceptor.bind(address);
+        try {
+            acceptor.bind(address);
+        } catch (IOException e) {
+            throw new IOException("cannot listen on " + address + ": it is in use or not this machine's", e);
+        }
     }
 
     /** No new connection is taken; those that are open stay. */
