--- a/src/main/java/ochretiller/net/CloseCode.java
+++ b/src/main/java/ochretiller/net/CloseCode.java
@@ -16,8 +16,6 @@
     NOT_READING,
     /** More connections are open than the limits allow. */
     TOO_MANY,
-    /** A newer connection takes its place. */
-    REPLACED,
     /** This server leaves. */
     LEAVING
 }
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -88,12 +88,17 @@
                 refusing.remove(address);
             } else {
                 // One line for a row of tries: who is down is asked again and again.
-                if (refusing.add(address)) LOG.info(() -> "connection link " + address + " ended: " + CloseCode.REFUSED);
+                if (refusing.add(address)) ended("link", address, CloseCode.REFUSED);
                 schedule.post(failed);
             }
         });
     }
 
+    /** The one line that each connection leaves. */
+    private static void ended(String kind, Object peer, CloseCode code) {
+        LOG.info(() -> "connection " + kind + ' ' + peer + " ended: " + code);
+    }
+
     void dirty(Connection connection) {
         dirty.add(connection);
     }
@@ -183,7 +188,7 @@
             schedule.post(() -> {
                 CloseCode code = connection.code();
                 receiver.ended(code);
-                LOG.info(() -> "connection " + kind + " " + connection.peer() + " ended: " + code);
+                ended(kind, connection.peer(), code);
             });
         }
 
--- a/src/main/java/ochretiller/records/Records.java
+++ b/src/main/java/ochretiller/records/Records.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.logging.Logger;
 import ochretiller.model.CallEnd;
 import ochretiller.net.CloseCode;
 import ochretiller.net.Connection;
@@ -19,7 +18,6 @@
 
 /** Calls go over one connection, made when it is needed and closed before the records service would close it. */
 public final class Records {
-    private static final Logger LOG = Logger.getLogger(Records.class.getName());
     private static final int LONGEST = 64 * 1024;
     /** The service closes a connection after 10 s; a call must not cross that. */
     private static final Duration IDLE = Duration.ofSeconds(7);
@@ -68,7 +66,8 @@
 
     private void send(Call call) {
         long wait = Math.max(1, call.patience.minus(schedule.now().minus(call.madeAt)).toMillis());
-        connection.write("OP " + call.rid + ' ' + wait + ' ' + call.body.length + "\r\n").write(call.body).write("\r\n");
+        connection.write("OP " + call.rid + ' ' + wait + ' ' + call.body.length + "\r\n");
+        connection.write(call.body).write("\r\n");
         connection.used(schedule.now());
     }
 
@@ -186,7 +185,6 @@
             for (Call call : new ArrayList<>(calls.values())) {
                 if (!unsent.contains(call)) end(call, CallEnd.Result.RESET, new byte[0]);
             }
-            LOG.fine("connection to the records service ended");
         }
     }
 }
