Bound what waits for the loop by blocking the reader, not by MINA's suspend

Cause: suspendRead and resumeRead change the selection key's interest set by reading, changing and writing it; called from the loop while the network's thread sets its interest in writing, one of the changes is lost. Ruled out: the count itself (resume was called). Now one semaphore for all connections, taken before a buffer is enqueued and given back once it is worked off.

--- a/src/main/java/ochretiller/net/Connection.java
+++ b/src/main/java/ochretiller/net/Connection.java
@@ -14,8 +14,6 @@
     /** The like for all peers together, and what each may have of it whatever the others do. */
     private static final long ALL_UNREAD = 8 * 1024 * 1024;
     private static final long SOME_UNREAD = 16 * 1024;
-    /** Buffers that may wait for the one thread before nothing more is read from the peer. */
-    private static final int BEHIND = 4;
 
     private final IoSession session;
     private final Network network;
@@ -93,20 +91,16 @@
         session.closeNow();
     }
 
-    /** Guards against a peer that sends faster than the one thread works: its socket fills instead. */
-    void queued() {
-        if (behind.incrementAndGet() != BEHIND) return;
-        session.suspendRead();
-        // Guards against the one thread having caught up in between: nobody would read on any more.
-        if (behind.get() < BEHIND) session.resumeRead();
-    }
-
     /** Nothing that was read waits for the one thread. */
     public boolean quiet() {
         return behind.get() == 0;
     }
 
+    void queued() {
+        behind.incrementAndGet();
+    }
+
     void worked() {
-        if (behind.getAndDecrement() == BEHIND) session.resumeRead();
+        behind.decrementAndGet();
     }
 }
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -29,6 +30,8 @@
     /** Bytes read at once: a few of the longest messages. */
     private static final int READ = 8 * 1024;
     private static final int FIRST_READ = 4 * 1024;
+    /** Buffers that may wait for the one thread, of all connections together: a few times what a burst brings. */
+    private static final int BEHIND = 256;
     private static final int BACKLOG = 1024;
     private static final long CONNECT_MS = 2_000;
 
@@ -36,6 +39,7 @@
     private final ExecutorService threads = Executors.newCachedThreadPool(Network::thread);
     private final NioProcessor processor = new NioProcessor(threads);
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
+    private final Semaphore behind = new Semaphore(BEHIND);
     private final Set<Connection> dirty = new LinkedHashSet<>();
     private final Set<InetSocketAddress> refusing = ConcurrentHashMap.newKeySet();
     private NioSocketAcceptor acceptor;
@@ -165,8 +169,12 @@
                 return;
             }
             if (work == null) return;
+            // Guards against peers that send faster than the one thread works: their sockets fill instead. Reading waits
+            // here, since MINA's own suspend and resume lose each other's changes when two threads call them.
+            behind.acquireUninterruptibly();
             connection.queued();
             schedule.post(() -> {
+                behind.release();
                 connection.worked();
                 connection.used(schedule.now());
                 work.run();
