--- a/src/main/java/ochretiller/gateway/Gateway.java
+++ b/src/main/java/ochretiller/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import ochretiller.model.InvId;
 import ochretiller.model.Operation;
@@ -94,7 +95,10 @@
                 default -> invoke(peer, message);
             }
         } catch (RpcException e) {
-            LOG.info(() -> "bad input from gateway " + peer.connection.peer() + ": " + e.code + " " + e.getMessage());
+            // The first of a connection is told: guards against a log filled at a peer's will.
+            Level level = peer.faulty ? Level.FINE : Level.INFO;
+            LOG.log(level, () -> "bad input from gateway " + peer.connection.peer() + ": " + e.code + ' ' + e.getMessage());
+            peer.faulty = true;
             if (message.id() == null) peer.connection.drop(CloseCode.BAD_INPUT);
             else peer.connection.write(Rpc.fault(message.id(), e));
             peer.settle();
@@ -152,7 +156,7 @@
         openTries++;
         if (peer.surplus) throttle(inv, Duration.ZERO, false); // it never ran, and others may have room
         else arrived.accept(inv);
-        if (!peer.open.containsKey(inv.rpcId)) forget(inv);
+        if (inv.answered() && !inv.running()) forget(inv);
     }
 
     /** The try by the name that it bears on all wires, as long as it is not forgotten. */
--- a/src/main/java/ochretiller/gateway/Peer.java
+++ b/src/main/java/ochretiller/gateway/Peer.java
@@ -20,6 +20,8 @@
     /** Health checks at work. */
     int checks;
     boolean inputEnded;
+    /** It sent something wrong before. */
+    boolean faulty;
     private final Gateway gateway;
     private final Frames frames = new Frames(LONGEST_LINE, false, line -> Frames.NONE);
 
