--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -12,10 +12,10 @@
  "familyInfo":{"cpus":1,"memoryKb":1000,"meters":["core_use"],"idleNs":1000000000},
  "guarantees":{"stopSendingWithinNs":100000000}}}
 JSON
-options=$(grep '^run' deploy/balancer.toml | grep -o -e '-X[^ ]*' | grep -v -e SharedArchiveFile)
 rm -f target/ochretiller.jsa
-EDGE_CONFIG="$work/config.json" java $options -XX:ArchiveClassesAtExit=target/ochretiller.jsa \
-    -jar target/ochretiller.jar serve > "$work/log" 2>&1 &
+# The flags are those of a server: an archive serves only a JVM like the one that made it.
+EDGE_CONFIG="$work/config.json" sh deploy/serve.sh -XX:SharedArchiveFile= -XX:ArchiveClassesAtExit=target/ochretiller.jsa \
+    > "$work/log" 2>&1 &
 server=$!
 for _ in 1 2 3 4 5 6 7 8 9 10; do
     sleep 0.5
--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import ochretiller.node.Configuration;
+import ochretiller.node.Hangup;
 import ochretiller.node.Logs;
 import ochretiller.node.Node;
 import ochretiller.settings.MalformedException;
@@ -61,10 +62,10 @@
         }
     }
 
-    private static Configuration configuration(Path file) {
+    private static Path configuration(Path file) {
         String told = file != null ? file.toString() : System.getenv("EDGE_CONFIG");
         if (told == null) throw new MalformedException("no configuration: EDGE_CONFIG is not set");
-        return Configuration.read(Path.of(told));
+        return Path.of(told);
     }
 
     @Command(name = "serve", description = "Serve as one server until SIGTERM and the drain that follows.",
@@ -72,6 +73,7 @@
     static int serve(@Option(names = "--config", description = CONFIG) Path file) throws IOException {
         Logs.install();
         Node node = new Node(configuration(file));
+        Hangup.on(node::reload);
         node.listen();
         // The exit code of a drain is 0; without the halt it would be the signal's.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -89,7 +91,7 @@
     @Command(name = "check", description = "Check a configuration as serve does, without listening.",
         mixinStandardHelpOptions = true)
     static int check(@Option(names = "--config", description = CONFIG) Path file) {
-        System.out.println("the configuration of " + configuration(file).name() + " is good");
+        System.out.println("the configuration of " + Configuration.read(configuration(file)).name() + " is good");
         return 0;
     }
 
--- a/src/main/java/ochretiller/net/CloseCode.java
+++ b/src/main/java/ochretiller/net/CloseCode.java
@@ -16,6 +16,10 @@
     NOT_READING,
     /** More connections are open than the limits allow. */
     TOO_MANY,
+    /** The configuration names another address. */
+    MOVED,
+    /** The call on it was given up. */
+    GIVEN_UP,
     /** This server leaves. */
     LEAVING
 }
--- a/src/main/java/ochretiller/node/Configuration.java
+++ b/src/main/java/ochretiller/node/Configuration.java
@@ -31,7 +31,7 @@
     private static final List<String> NEEDED = List.of("classes.0.name", "familyInfo.cpus", "familyInfo.memoryKb",
         "familyInfo.meters", "familyInfo.idleNs", "guarantees.stopSendingWithinNs");
     private static final int FEWEST_SOCKETS = 64;
-    private static final int LEAST_MB = 64;
+    private static final int LEAST_MB = 32;
 
     /** Reads and checks the file; what is wrong is told by a {@link MalformedException} that names it. */
     public static Configuration read(Path file) {
--- /dev/null
+++ b/src/main/java/ochretiller/node/Hangup.java
@@ -0,0 +1,29 @@
+package ochretiller.node;
+
+import java.lang.reflect.Proxy;
+import java.util.logging.Logger;
+
+/** SIGHUP, which ends a JVM that has no handler for it. */
+public final class Hangup {
+    private static final Logger LOG = Logger.getLogger(Hangup.class.getName());
+
+    private Hangup() {
+    }
+
+    /** Runs {@code work} at each signal, on a thread of the JDK's. Its types are found by name: no use compiles unwarned. */
+    public static void on(Runnable work) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object mine = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                (proxy, method, arguments) -> {
+                    if (method.getName().equals("handle")) work.run();
+                    return null;
+                });
+            signal.getMethod("handle", signal, handler)
+                .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), mine);
+        } catch (ReflectiveOperationException e) {
+            LOG.warning("SIGHUP ends this server: the JDK gives no handler for it");
+        }
+    }
+}
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -1,6 +1,7 @@
 package ochretiller.node;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -16,6 +17,7 @@
 import ochretiller.processor.Link;
 import ochretiller.records.Records;
 import ochretiller.roster.Roster;
+import ochretiller.settings.MalformedException;
 import ochretiller.settings.Settings;
 
 /** One server from its start through its drain to its stop. */
@@ -28,7 +30,10 @@
     private static final Duration LOOK = Duration.ofMillis(20);
     /** Part of the memory limit that kept results may take. */
     private static final int KEYS_PART = 8;
+    /** Part of the descriptors that calls may take. */
+    private static final int CALLS_PART = 8;
 
+    private final Path file;
     private final Configuration configuration;
     private final Loop loop = new Loop();
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -41,12 +46,13 @@
     private Host host;
     private boolean leaving;
 
-    public Node(Configuration configuration) throws IOException {
-        this.configuration = configuration;
+    public Node(Path file) throws IOException {
+        this.file = file;
+        this.configuration = Configuration.read(file);
         link = new Link(loop, network, configuration.processor(),
             List.of(configuration.settings().text("familyInfo.meters").split(",")), this::up,
             (rid, body) -> host.asked(rid, body));
-        records = new Records(loop, network, configuration.records());
+        records = new Records(loop, network, configuration.records(), configuration.sockets() / CALLS_PART);
         roster = new Roster(loop, configuration.roster(), configuration.name());
         health = new Health(link::trial);
         gateway = new Gateway(loop, configuration.operations(), configuration.sockets() / 2,
@@ -63,6 +69,23 @@
         loop.post(roster::start);
     }
 
+    /** The file has changed, from any thread: each part moves to its new address by itself. All else stays as it was. */
+    public void reload() {
+        loop.post(() -> {
+            Configuration next;
+            try {
+                next = Configuration.read(file);
+            } catch (MalformedException e) {
+                LOG.warning("stays with its configuration: " + e.getMessage());
+                return;
+            }
+            LOG.info("takes the addresses of its configuration again");
+            link.move(next.processor());
+            records.move(next.records());
+            roster.move(next.roster());
+        });
+    }
+
     /** Serves until the drain is over. */
     public void run() {
         LOG.info(() -> configuration.name() + " listens on " + configuration.listen());
--- a/src/main/java/ochretiller/processor/Link.java
+++ b/src/main/java/ochretiller/processor/Link.java
@@ -30,13 +30,15 @@
 
     private final Schedule schedule;
     private final Network network;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Gauging gauging;
     private final BiConsumer<Boolean, Duration> up;
     private final BiConsumer<String, byte[]> asked;
     private final Map<String, Run> runs = new LinkedHashMap<>();
     private final Map<String, Consumer<Boolean>> trials = new LinkedHashMap<>();
     private Connection connection;
+    private InetSocketAddress linkedTo;
+    private boolean connecting;
     private boolean ready;
     private boolean closing;
     private long lastNotice;
@@ -61,8 +63,21 @@
         this.asked = asked;
     }
 
+    /** Connects, unless there is a link to this address or one is being made. */
     public void connect() {
-        if (!closing) network.connect(address, End::new, () -> schedule.after(AGAIN, this::connect));
+        if (closing || connecting || connection != null && address.equals(linkedTo)) return;
+        connecting = true;
+        InetSocketAddress to = address;
+        network.connect(to, made -> new End(made, to), () -> {
+            connecting = false;
+            schedule.after(AGAIN, this::connect);
+        });
+    }
+
+    /** The processor goes on at another address: the old link is kept until there is one to it. */
+    public void move(InetSocketAddress to) {
+        address = to;
+        connect();
     }
 
     public void close() {
@@ -128,6 +143,14 @@
         if (ready) counted("answer " + rid, reply);
     }
 
+    /** Nothing can be said until the next link has caught up; checks under way are told that no work was done. */
+    private void unlinked() {
+        ready = false;
+        List<Consumer<Boolean>> waiting = new ArrayList<>(trials.values());
+        trials.clear();
+        waiting.forEach(then -> then.accept(false));
+    }
+
     /** All notices that were missed have been told: what the old link may have lost is said again. */
     private void caughtUp() {
         ready = true;
@@ -187,17 +210,29 @@
     /** One link, from its connection to its end. */
     private final class End implements Receiver {
         private final Connection mine;
+        private final InetSocketAddress to;
         private final Frames frames = new Frames(LONGEST, true, Link::bodyLength);
 
-        End(Connection mine) {
+        End(Connection mine, InetSocketAddress to) {
             this.mine = mine;
+            this.to = to;
             schedule.post(this::opened);
         }
 
         private void opened() {
-            if (closing || !mine.open()) return;
+            connecting = false;
+            if (!mine.open()) return; // its end follows
+            if (closing) {
+                mine.close(CloseCode.LEAVING);
+                return;
+            }
+            Connection old = connection;
             connection = mine;
+            linkedTo = to;
+            unlinked();
+            if (old != null) old.drop(CloseCode.MOVED);
             mine.write("hello " + lastNotice + "\r\n");
+            connect(); // where the address has changed meanwhile
         }
 
         @Override
@@ -272,12 +307,9 @@
         public void ended(CloseCode code) {
             if (connection == mine) {
                 connection = null;
-                ready = false;
-                List<Consumer<Boolean>> waiting = new ArrayList<>(trials.values());
-                trials.clear();
-                waiting.forEach(then -> then.accept(false));
+                unlinked();
             }
-            if (connection == null && !closing) schedule.after(AGAIN, Link.this::connect);
+            schedule.after(AGAIN, Link.this::connect);
         }
     }
 }
--- a/src/main/java/ochretiller/records/Records.java
+++ b/src/main/java/ochretiller/records/Records.java
@@ -2,10 +2,14 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import ochretiller.model.CallEnd;
 import ochretiller.net.CloseCode;
 import ochretiller.net.Connection;
@@ -16,20 +20,25 @@
 import ochretiller.text.Frames;
 import ochretiller.text.Slice;
 
-/** Calls go over one connection, made when it is needed and closed before the records service would close it. */
+/**
+ * Calls go over connections that are made when they are needed, one call at a time on each: what spoils one reply spoils
+ * no other. The one that was used last is used next, and one that stands idle is closed before it can be forgotten.
+ */
 public final class Records {
     private static final int LONGEST = 64 * 1024;
-    /** The service closes a connection after 10 s; a call must not cross that. */
-    private static final Duration IDLE = Duration.ofSeconds(7);
-    private static final Duration SWEEP = Duration.ofSeconds(1);
+    /** The service closes a connection after 10 s, and some far sooner; a call must not cross that. */
+    private static final Duration IDLE = Duration.ofMillis(500);
+    private static final Duration SWEEP = Duration.ofMillis(100);
 
     private final Schedule schedule;
     private final Network network;
-    private final InetSocketAddress address;
+    private final int most;
     private final Map<String, Call> calls = new LinkedHashMap<>();
-    private final List<Call> unsent = new ArrayList<>();
-    private Connection connection;
-    private boolean connecting;
+    private final Set<Call> unsent = new LinkedHashSet<>();
+    private final Set<End> ends = new LinkedHashSet<>();
+    private final Deque<End> idle = new ArrayDeque<>();
+    private InetSocketAddress address;
+    private int connecting;
 
     /** What is told of the end of a call; the reply has no bytes unless it succeeded. */
     @FunctionalInterface
@@ -37,43 +46,68 @@
         void ended(CallEnd end, byte[] reply);
     }
 
-    private record Call(String rid, Duration patience, byte[] body, Duration madeAt, EndOfCall then) {
+    private static final class Call {
+        final String rid;
+        final Duration patience;
+        final byte[] body;
+        final Duration madeAt;
+        final EndOfCall then;
+        /** Where it was written, or null. */
+        End on;
+
+        Call(String rid, Duration patience, byte[] body, Duration madeAt, EndOfCall then) {
+            this.rid = rid;
+            this.patience = patience;
+            this.body = body;
+            this.madeAt = madeAt;
+            this.then = then;
+        }
     }
 
-    public Records(Schedule schedule, Network network, InetSocketAddress address) {
+    /**
+     * No connection is made yet.
+     *
+     * @param most connections that may be open at once; calls beyond them wait for one
+     */
+    public Records(Schedule schedule, Network network, InetSocketAddress address, int most) {
         this.schedule = schedule;
         this.network = network;
         this.address = address;
+        this.most = most;
         schedule.after(SWEEP, this::sweep);
     }
 
     public void call(String rid, Duration patience, byte[] body, EndOfCall then) {
         Call call = new Call(rid, patience, body, schedule.now(), then);
         calls.put(rid, call);
+        unsent.add(call);
         schedule.after(patience, () -> {
             if (calls.get(rid) == call) giveUp(call);
         });
-        if (connection != null) {
-            send(call);
-            return;
-        }
-        unsent.add(call);
-        if (!connecting) {
-            connecting = true;
-            network.connect(address, End::new, this::refused);
-        }
+        next();
     }
 
-    private void send(Call call) {
-        long wait = Math.max(1, call.patience.minus(schedule.now().minus(call.madeAt)).toMillis());
-        connection.write("OP " + call.rid + ' ' + wait + ' ' + call.body.length + "\r\n");
-        connection.write(call.body).write("\r\n");
-        connection.used(schedule.now());
+    /** The service goes on at another address: calls that were written may end where they are, no other follows them. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) return;
+        address = to;
+        for (End end : new ArrayList<>(idle)) end.leave(CloseCode.MOVED);
+        next();
+    }
+
+    /** Gives idle connections to calls that wait, and makes more where there are too few. */
+    private void next() {
+        while (!unsent.isEmpty() && !idle.isEmpty()) idle.poll().send(unsent.iterator().next());
+        while (connecting < unsent.size() && ends.size() + connecting < most) {
+            connecting++;
+            InetSocketAddress to = address;
+            network.connect(to, made -> new End(made, to), this::refused);
+        }
     }
 
     private void giveUp(Call call) {
         // What was not even written is known not to have run.
-        boolean never = unsent.contains(call);
+        boolean never = call.on == null;
         abandon(call.rid);
         end(call, never ? CallEnd.Result.NOT_REACHED : CallEnd.Result.TIMED_OUT, new byte[0]);
     }
@@ -81,7 +115,10 @@
     /** The run that made the call is over: nobody waits for it any more. */
     public void abandon(String rid) {
         Call call = calls.remove(rid);
-        if (call != null && !unsent.remove(call) && connection != null) connection.write("UNOP " + rid + "\r\n");
+        if (call == null || unsent.remove(call)) return;
+        // Guards against the next call on a connection whose reply never came, or comes late.
+        call.on.mine.write("UNOP " + rid + "\r\n");
+        call.on.leave(CloseCode.GIVEN_UP);
     }
 
     private void end(Call call, CallEnd.Result result, byte[] reply) {
@@ -89,9 +126,13 @@
         call.then.ended(new CallEnd(result, schedule.now().minus(call.madeAt)), reply);
     }
 
-    /** A connection that was never made proves that no call ran. */
     private void refused() {
-        connecting = false;
+        connecting--;
+        notReached();
+    }
+
+    /** A connection that was never made proves that no call ran. */
+    private void notReached() {
         List<Call> none = new ArrayList<>(unsent);
         unsent.clear();
         none.forEach(call -> end(call, CallEnd.Result.NOT_REACHED, new byte[0]));
@@ -99,15 +140,13 @@
 
     private void sweep() {
         schedule.after(SWEEP, this::sweep);
-        if (connection != null && calls.isEmpty() && schedule.now().minus(connection.usedAt()).compareTo(IDLE) > 0) {
-            Connection idle = connection;
-            connection = null;
-            idle.close(CloseCode.IDLE);
+        while (!idle.isEmpty() && schedule.now().minus(idle.peekLast().mine.usedAt()).compareTo(IDLE) > 0) {
+            idle.peekLast().leave(CloseCode.IDLE);
         }
     }
 
     public void close() {
-        if (connection != null) connection.close(CloseCode.LEAVING);
+        for (End end : new ArrayList<>(ends)) end.leave(CloseCode.LEAVING);
     }
 
     private static int bodyLength(Slice line) {
@@ -136,24 +175,48 @@
     /** One connection, from its making to its end. */
     private final class End implements Receiver {
         private final Connection mine;
+        private final InetSocketAddress to;
         private final Frames frames = new Frames(LONGEST, true, Records::bodyLength);
+        /** The call that was written on it and is not over. */
+        private Call call;
 
-        End(Connection mine) {
+        End(Connection mine, InetSocketAddress to) {
             this.mine = mine;
+            this.to = to;
             schedule.post(this::opened);
         }
 
         private void opened() {
-            connecting = false;
+            connecting--;
             if (!mine.open()) {
-                refused(); // nothing was written on it
+                notReached(); // nothing was written on it
                 return;
             }
-            connection = mine;
+            ends.add(this);
+            free();
+            next();
+        }
+
+        private void free() {
+            call = null;
+            if (to.equals(address)) idle.push(this);
+            else leave(CloseCode.MOVED);
+        }
+
+        private void send(Call next) {
+            unsent.remove(next);
+            call = next;
+            next.on = this;
+            long wait = Math.max(1, next.patience.minus(schedule.now().minus(next.madeAt)).toMillis());
+            mine.write("OP " + next.rid + ' ' + wait + ' ' + next.body.length + "\r\n").write(next.body).write("\r\n");
             mine.used(schedule.now());
-            List<Call> first = new ArrayList<>(unsent);
-            unsent.clear();
-            first.forEach(Records.this::send);
+        }
+
+        /** No call goes over it any more. */
+        private void leave(CloseCode code) {
+            ends.remove(this);
+            idle.remove(this);
+            mine.close(code);
         }
 
         @Override
@@ -164,14 +227,20 @@
                 if (words.size() < 2) throw new BadInputException("no reply: '" + line.text() + "'");
                 CallEnd.Result result = result(words.get(1));
                 byte[] reply = body.copy(); // it may have to be said again on another link
-                work.add(() -> {
-                    Call call = calls.get(words.get(0));
-                    if (call != null) end(call, result, reply);
-                });
+                work.add(() -> replied(words.get(0), result, reply));
             });
             return () -> work.forEach(Runnable::run);
         }
 
+        /** A second copy of a reply, or one to a call of another's, is passed over. */
+        private void replied(String rid, CallEnd.Result result, byte[] reply) {
+            Call done = call;
+            if (done == null || !done.rid.equals(rid) || calls.get(rid) != done) return;
+            free();
+            Records.this.end(done, result, reply);
+            next();
+        }
+
         @Override
         public void inputEnded() {
             mine.drop(CloseCode.PEER_CLOSED);
@@ -179,12 +248,11 @@
 
         @Override
         public void ended(CloseCode code) {
-            if (connection != mine) return;
-            connection = null;
-            // Each call that was written may have run; those that were not go with the next connection.
-            for (Call call : new ArrayList<>(calls.values())) {
-                if (!unsent.contains(call)) end(call, CallEnd.Result.RESET, new byte[0]);
-            }
+            ends.remove(this);
+            idle.remove(this);
+            // What was written may have run; a connection that breaks proves nothing.
+            if (call != null && calls.get(call.rid) == call) Records.this.end(call, CallEnd.Result.RESET, new byte[0]);
+            next();
         }
     }
 }
--- a/src/main/java/ochretiller/roster/Roster.java
+++ b/src/main/java/ochretiller/roster/Roster.java
@@ -12,11 +12,11 @@
 /** Reports this server by single datagrams that get no answer. */
 public final class Roster {
     private static final Logger LOG = Logger.getLogger(Roster.class.getName());
-    /** An entry lapses after 3 s: one report may be lost. */
-    private static final Duration EVERY = Duration.ofSeconds(1);
+    /** An entry lapses after 3 s: of a dozen reports the last may come a second late, and many may be lost. */
+    private static final Duration EVERY = Duration.ofMillis(250);
 
     private final Schedule schedule;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final String name;
     private final DatagramSocket socket;
     private boolean leaving;
@@ -34,6 +34,13 @@
         schedule.after(EVERY, this::start);
     }
 
+    /** Reports go to another address from now on. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) return;
+        address = to;
+        report(leaving ? "off" : "on");
+    }
+
     /** Says so once; later reports would keep the entry on the list. */
     public void leave() {
         leaving = true;
--- a/src/test/java/ochretiller/Fixture.java
+++ b/src/test/java/ochretiller/Fixture.java
@@ -206,51 +206,55 @@
 
     /** The packaged program with small stand-ins for processor, records service and roster, written from their page. */
     static final class Deployment implements AutoCloseable {
-        private static final Pattern OPTION = Pattern.compile(" (-X\\S+)");
         final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
         final BlockingQueue<String> log = new LinkedBlockingQueue<>();
         final BlockingQueue<String> reports = new LinkedBlockingQueue<>();
-        final ServerSocket processor = open();
-        ServerSocket records = open();
+        private ServerSocket processor;
+        ServerSocket records;
         volatile Wire link;
         volatile Wire calls;
         /** What the processor says behind its greeting. */
         volatile String greeting = "hi hot 3600000\r\n";
-        private final DatagramSocket roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        private DatagramSocket roster;
         final int port = freePort();
         private final AtomicLong notices = new AtomicLong();
+        private final Path config = Files.createTempFile("node", ".json");
         private final Process process;
 
         Deployment() throws IOException { this(json -> json); }
 
         Deployment(UnaryOperator<String> change) throws IOException {
-            Path config = Files.createTempFile("node", ".json");
-            Files.writeString(config, change.apply(config(port, processor.getLocalPort(), records.getLocalPort(),
-                roster.getLocalPort())));
+            move(change);
             process = start(config, "serve");
-            Files.delete(awaitRead(config));
-        }
-
-        /** The configuration's file may go once the server listens or has ended. */
-        private Path awaitRead(Path config) {
             daemon(() -> {
                 try (BufferedReader lines = new BufferedReader(new InputStreamReader(process.getInputStream()))) {
                     for (String line = lines.readLine(); line != null; line = lines.readLine()) log.add(line);
                 }
             });
+            await(log, "listens|ochretiller: ");
+        }
+
+        /** The stand-ins go on at new addresses, which the configuration's file now has. */
+        void move(UnaryOperator<String> change) throws IOException {
+            ServerSocket engine = processor = open();
             daemon(() -> {
-                while (true) serveProcessor(new Wire(processor.accept()));
+                while (true) {
+                    Wire wire = new Wire(engine.accept());
+                    daemon(() -> serveProcessor(wire));
+                }
             });
+            records = open();
             serveRecords();
+            DatagramSocket list = roster = new DatagramSocket(0, InetAddress.getLoopbackAddress());
             daemon(() -> {
                 while (true) {
                     DatagramPacket packet = new DatagramPacket(new byte[100], 100);
-                    roster.receive(packet);
+                    list.receive(packet);
                     reports.add(new String(packet.getData(), 0, packet.getLength(), StandardCharsets.US_ASCII));
                 }
             });
-            await(log, "listens|ochretiller: ");
-            return config;
+            Files.writeString(config, change.apply(config(port, engine.getLocalPort(), records.getLocalPort(),
+                list.getLocalPort())));
         }
 
         static ServerSocket open() throws IOException {
@@ -279,13 +283,13 @@
             thread.start();
         }
 
-        /** The program with the flags that operators give it. */
+        /** The program, served as operators do. */
         static Process start(Path config, String... words) throws IOException {
-            List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
-            OPTION.matcher(Files.readString(Path.of("deploy/balancer.toml"))).results()
-                .forEach(option -> command.add(option.group(1)));
-            command.addAll(List.of("-jar", "target/ochretiller.jar"));
-            command.addAll(List.of(words));
+            List<String> command = new ArrayList<>(List.of("sh", "deploy/serve.sh"));
+            if (!List.of(words).equals(List.of("serve"))) {
+                command = new ArrayList<>(List.of("java", "-jar", "target/ochretiller.jar"));
+                command.addAll(List.of(words));
+            }
             ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
             builder.environment().remove("EDGE_CONFIG");
             if (config != null) builder.environment().put("EDGE_CONFIG", config.toString());
@@ -348,9 +352,10 @@
         }
 
         private void serveRecords() {
+            ServerSocket service = records;
             daemon(() -> {
                 while (true) {
-                    Wire wire = new Wire(records.accept());
+                    Wire wire = new Wire(service.accept());
                     daemon(() -> serveRecords(wire));
                 }
             });
@@ -403,6 +408,7 @@
             processor.close();
             records.close();
             roster.close();
+            Files.delete(config);
         }
     }
 }
--- a/src/test/java/ochretiller/ServeIT.java
+++ b/src/test/java/ochretiller/ServeIT.java
@@ -336,6 +336,46 @@
         expectServes();
     }
 
+    @Test
+    void newConfigurationMovesAllLinksWhileRunsGoOnAndABadOneIsNotTaken() throws Exception {
+        gateway.send(read(1, "wait"));
+        await(deployment.heard, "begin " + rid(1));
+        deployment.records.close();
+        deployment.move(json -> json.replace("\"n1\"", "\"n2\""));
+        deployment.signal("HUP");
+        await(deployment.heard, "hello 0");
+        await(deployment.heard, "begin " + rid(1)); // what the old link may have lost is said again
+        await(deployment.log, "connection link .* ended: MOVED");
+        deployment.complete(rid(1), "moved");
+        expectResult(1, "moved");
+        gateway.send(read(2, "call DONE"));
+        expectResult(2, "after reply");
+        deployment.reports.clear();
+        await(deployment.reports, "HERE n1 on"); // a server keeps its name
+        for (String wrong : List.of("{", "{}")) {
+            deployment.move(json -> wrong);
+            deployment.signal("HUP");
+            await(deployment.log, "WARNING stays with its configuration: ");
+        }
+        gateway.send(read(3, "call DONE"));
+        expectResult(3, "after reply");
+    }
+
+    @Test
+    void spoiltReplyEndsNoOtherCall() throws IOException {
+        gateway.send(read(1, "call silence"));
+        await(deployment.heard, "^OP");
+        Wire good = deployment.calls;
+        gateway.send(read(2, "call silence"));
+        await(deployment.heard, "^OP");
+        deployment.calls.send("\u00e1\u0007 noise\r\n");
+        expectError(2, -32000);
+        good.send(rid(7) + " DONE 4\r\nelse\r\n" + (rid(1) + " DONE 4\r\nmine\r\n").repeat(2));
+        expectResult(1, "after mine");
+        gateway.send(read(3, "call DONE"));
+        expectResult(3, "after reply");
+    }
+
     @Test
     void reportsToTheRoster() {
         await(deployment.reports, "HERE n1 on");
