Compare bodies under one token; a run that never began leaves no mark

A probe of the log ruled out pings and reads: only keyed repeats are answered without a run of their own. Keys.read tied by token alone; a stranger's body got the kept result. Now a repeat with another body is errored; while its forerunner is not over it waits up to a second, for the forerunner may be the stranger. A begin that the processor rejects ended as LOST in Choice.ended, which errored good repeats behind it; it is dropped now.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -202,7 +202,10 @@
                 limit.ended();
                 hold.measured(work.inv, end.took().minus(work.offCores), now);
             }
-            Token token = tokens.mark(work.inv.id(), succeeded ? Token.State.SUCCEEDED : Token.State.LOST);
+            boolean never = end.result() == RunEnd.Result.NOTHING;
+            Token token = tokens.mark(work.inv.id(),
+                succeeded ? Token.State.SUCCEEDED : never ? Token.State.UNRUN : Token.State.LOST);
+            if (never) dropped(server, work); // guards against a stranger who took its token
             if (token != null) token.release().forEach(waiting -> repeat(server, waiting, token));
             pump(server);
             fill(server);
@@ -552,8 +555,7 @@
         /** What has to go so that all that stays is expected to end within its objective, or null. */
         Work misfit(Duration now, int limit, List<Work> running) {
             List<Work> ordered = ordered(now);
-            double first = running.size() < limit ? 0 : runsLeft(now, running);
-            double ahead = first;
+            double first = running.size() < limit ? 0 : runsLeft(now, running), ahead = first;
             // What fits by its mean alone misses half the time. A free place is taken all the same.
             double fit = 1 + SPREADS * Math.sqrt(spreads.mean(now, 0));
             for (Work work : ordered) {
@@ -726,15 +728,13 @@
 
         /** The wait in the hold, spread a little so that not all return at once. */
         Duration advice(Duration wait) {
-            double spread = 0.25 + chance.nextDouble() / 2;
-            return min(longest, span(seconds(max(BEAT, wait.plus(delay))) * spread));
+            return min(longest, span(seconds(max(BEAT, wait.plus(delay))) * chance.nextDouble(0.25, 0.75)));
         }
 
         /** Opens slowly while little waits, closes quickly while much does. */
         void tell(Server server, Duration wait, Duration objective) {
             if (!stalled && server.now().minus(readAt).compareTo(BUCKET) > 0) delay = Duration.ZERO;
-            boolean deep = seconds(delay) > seconds(objective) * DEEP_JAM;
-            if (healthy ? deep : !jammed(objective, JAM)) {
+            if (healthy ? jammed(objective, DEEP_JAM) : !jammed(objective, JAM)) {
                 // Guards against a jam that feeds itself: callers that wait no longer never get the advice.
                 healthy = !healthy;
                 server.health(healthy, true);
--- a/src/main/java/ochretiller/keys/Keys.java
+++ b/src/main/java/ochretiller/keys/Keys.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +31,9 @@
     private static final class Entry {
         final Object key;
         final InvId id;
+        final Operation operation;
+        /** What a tokened try asked for; null for a read. */
+        final byte[] body;
         /** A repeat that reached the machine before this is tied to it; later ones are not. */
         Duration until;
         Duration forgetAt;
@@ -37,11 +41,17 @@
         byte[] result;
         final List<Consumer<byte[]>> waiting = new ArrayList<>();
 
-        Entry(Object key, InvId id, Duration until) {
+        Entry(Object key, InvId id, Operation operation, byte[] body, Duration until) {
             this.key = key;
             this.id = id;
+            this.operation = operation;
+            this.body = body;
             this.until = until;
         }
+
+        int size() {
+            return ENTRY + (body == null ? 0 : body.length) + (result == null ? 0 : result.length);
+        }
     }
 
     /**
@@ -67,31 +77,50 @@
         if (key == null) return null;
         Entry entry = byKey.get(key);
         if (entry != null && arrived.compareTo(entry.until) < 0) return entry.id;
-        if (!operation.tokened()) put(new Entry(key, id, Duration.ofDays(10_000)), operation);
+        if (!operation.tokened()) put(new Entry(key, id, operation, null, Duration.ofDays(10_000)));
         return null;
     }
 
     /** Puts a tokened try into the table, or lets a read serve others, until then. */
-    public void keep(InvId id, Operation operation, String token, Duration until) {
-        if (operation.tokened()) put(new Entry(token, id, until), operation);
+    public void keep(InvId id, Operation operation, String token, byte[] body, Duration until) {
+        if (operation.tokened()) put(new Entry(token, id, operation, body, until));
+    }
+
+    /** The try that is known under this token now, or null: a forerunner that never ran has left it to another. */
+    public InvId kept(String token) {
+        Entry entry = byKey.get(token);
+        return entry == null ? null : entry.id;
+    }
+
+    /** Whether a kept tokened try asked for something else: the source answers such a repeat with an error. */
+    public boolean differs(InvId id, Operation operation, byte[] body) {
+        Entry entry = byId.get(id);
+        return entry != null && entry.body != null
+            && !(entry.operation.equals(operation) && Arrays.equals(entry.body, body));
+    }
+
+    /** Whether a kept try has run and ended. */
+    public boolean over(InvId id) {
+        Entry entry = byId.get(id);
+        return entry != null && entry.over;
     }
 
-    private void put(Entry entry, Operation operation) {
+    private void put(Entry entry) {
         Entry old = byKey.get(entry.key);
         if (old != null) drop(old);
         // A repeat may be read long after it came: an entry is known for one more client timeout.
-        entry.forgetAt = entry.until.plus(operation.clientTimeout());
+        entry.forgetAt = entry.until.plus(entry.operation.clientTimeout());
         byKey.put(entry.key, entry);
         byId.put(entry.id, entry);
         ending.add(entry);
-        bytes += ENTRY;
+        bytes += entry.size();
     }
 
     private void drop(Entry entry) {
         byKey.remove(entry.key, entry);
         byId.remove(entry.id, entry);
         ending.remove(entry);
-        bytes -= ENTRY + (entry.result == null ? 0 : entry.result.length);
+        bytes -= entry.size();
         entry.waiting.forEach(waiting -> waiting.accept(null));
     }
 
--- a/src/main/java/ochretiller/node/Host.java
+++ b/src/main/java/ochretiller/node/Host.java
@@ -26,6 +26,9 @@
 final class Host implements Server {
     private static final Logger LOG = Logger.getLogger(Host.class.getName());
     private static final byte[] NOTHING = new byte[0];
+    private static final String OTHER_BODY = "another request is known under this token";
+    /** How long a repeat with another body waits to see whether its forerunner is a request at all. */
+    private static final Duration DOUBT = Duration.ofSeconds(1);
 
     private final Schedule schedule;
     private final Duration shift;
@@ -73,12 +76,25 @@
     void arrived(Try inv) {
         Duration arrived = counted(inv.arrived);
         InvId forerunner = keys.read(inv.id, inv.operation, inv.token, inv.object, arrived, now());
+        boolean differs = forerunner != null && keys.differs(forerunner, inv.operation, inv.body);
+        if (differs && keys.over(forerunner)) {
+            gateway.fail(inv, OTHER_BODY);
+            return;
+        }
         tries.put(inv.id, inv);
+        // Guards against a stranger who took the token first: the processor rejects that one, and this may run then.
+        if (differs) schedule.after(DOUBT, () -> doubted(inv, forerunner));
         if (forerunner != null) forerunners.put(inv.id, forerunner);
         choice.arrived(new Invocation(inv.id, forerunner, inv.operation, inv.kb, arrived,
             arrived.plus(inv.operation.clientTimeout()), null, new CallerId(inv.caller), null, false)).act(this);
     }
 
+    private void doubted(Try inv, InvId forerunner) {
+        if (inv.answered() || !keys.differs(forerunner, inv.operation, inv.body)) return;
+        gateway.fail(inv, OTHER_BODY);
+        gone(inv);
+    }
+
     void gone(Try inv) {
         choice.gone(inv.id).act(this);
         settle(inv);
@@ -134,8 +150,9 @@
     @Override
     public void replay(InvId id, Function<RunEnd, Step> then) {
         Try inv = tries.get(id);
+        InvId kept = inv.token == null ? forerunners.get(id) : keys.kept(inv.token);
         // In the next gathering: the decisions are still at work on the arrival.
-        keys.result(forerunners.get(id), result -> schedule.post(() -> {
+        keys.result(keys.differs(kept, inv.operation, inv.body) ? null : kept, result -> schedule.post(() -> {
             if (result == null) gateway.fail(inv, "no result to replay");
             else gateway.succeed(inv, result);
             then.apply(new RunEnd(result == null ? RunEnd.Result.ERRORED : RunEnd.Result.SUCCEEDED, Duration.ZERO))
@@ -186,7 +203,7 @@
     @Override
     public void keep(InvId id, Duration span) {
         Try inv = tries.get(id);
-        keys.keep(id, inv.operation, inv.token, now().plus(span));
+        keys.keep(id, inv.operation, inv.token, inv.body, now().plus(span));
     }
 
     @Override
--- a/src/test/java/ochretiller/ChoiceTest.java
+++ b/src/test/java/ochretiller/ChoiceTest.java
@@ -63,6 +63,13 @@
         assertThat(server.end(1, RunEnd.Result.STOPPED)).containsExactly("fail 2");
     }
 
+    @Test
+    void repeatOfARunThatNeverBeganTakesItsPlace() {
+        server.arrive(1, ORDER, null);
+        server.arrive(2, ORDER, 1L);
+        assertThat(server.end(1, RunEnd.Result.NOTHING)).containsExactly("erase 1", "keep 2", "run 2");
+    }
+
     @Test
     void repeatOfUnknownForerunnerReplays() {
         assertThat(server.arrive(2, ORDER, 1L)).containsExactly("replay 2");
--- a/src/test/java/ochretiller/ServeIT.java
+++ b/src/test/java/ochretiller/ServeIT.java
@@ -138,7 +138,7 @@
     void repeatOfAFailedRunIsErroredAndNeverRuns() throws IOException {
         gateway.send(order(1, "bad"));
         expectError(1, -32000);
-        gateway.send(order(2, "good"));
+        gateway.send(order(2, "bad"));
         expectError(2, -32000);
     }
 
@@ -271,11 +271,28 @@
     }
 
     @Test
-    void rejectedBeginIsErrored() throws IOException {
-        gateway.send(read(1, "wait"));
+    void rejectedTryIsErroredAndLeavesItsTokenToTheNext() throws IOException {
+        gateway.send(order(1, "wait"));
         await(deployment.heard, "begin " + rid(1));
+        gateway.send(order(2, "good") + order(3, "good"));
         deployment.link.send("reject begin " + rid(1) + "\r\n");
         expectError(1, -32000);
+        expectResult(2, "result of " + rid(2));
+        expectResult(3, "result of " + rid(2));
+    }
+
+    @Test
+    void otherBodyUnderOneTokenIsErroredAndNeverRuns() throws IOException {
+        gateway.send(order(1, "wait"));
+        await(deployment.heard, "begin " + rid(1));
+        gateway.send(order(2, "good"));
+        expectError(2, -32000);
+        deployment.complete(rid(1), "mine");
+        expectResult(1, "mine");
+        gateway.send(order(3, "good") + order(4, "wait"));
+        expectError(3, -32000);
+        expectResult(4, "mine");
+        assertThat(deployment.heard).noneMatch(line -> line.startsWith("begin"));
     }
 
     @ParameterizedTest
@@ -432,7 +449,7 @@
     void usedIdsAndTooManyOpenAreWrong() throws IOException {
         String first = order(1, "wait");
         gateway.send(first);
-        gateway.send(order(1, "good"));
+        gateway.send(order(1, "wait"));
         expectError(1, -32600);
         gateway.send(first.replace("\"id\":1,", "\"id\":2,"));
         expectError(2, -32602);
--- a/src/test/java/ochretiller/keys/KeysTest.java
+++ b/src/test/java/ochretiller/keys/KeysTest.java
@@ -14,6 +14,7 @@
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final Operation ORDER = operation("order", Effect.TOKENED);
     private static final Operation READ = operation("read", Effect.IDEMPOTENT);
+    private static final byte[] BODY = {1};
     private final Keys keys = new Keys(10_000, SECOND);
 
     private static Operation operation(String name, Effect effect) {
@@ -49,21 +50,30 @@
     @Test
     void tryIsTiedToTheKeptOne() {
         assertThat(order(1, 0, 0)).isNull();
-        keys.keep(id(1), ORDER, "token", at(10));
+        keys.keep(id(1), ORDER, "token", BODY, at(10));
         assertThat(order(2, 0, 0)).isEqualTo(id(1));
     }
 
     @Test
     void windowCountsByArrivalHoweverLateItIsRead() {
-        keys.keep(id(1), ORDER, "token", at(10));
+        keys.keep(id(1), ORDER, "token", BODY, at(10));
         ended(1, "done", 1);
         assertThat(order(2, 9.9, 11.5)).isEqualTo(id(1));
         assertThat(order(3, 10, 10)).isNull();
     }
 
+    @Test
+    void otherBodyOrOperationUnderOneTokenDiffers() {
+        keys.keep(id(1), ORDER, "token", BODY, at(10));
+        assertThat(keys.differs(id(1), ORDER, new byte[] {1})).isFalse();
+        assertThat(keys.differs(id(1), ORDER, new byte[] {2})).isTrue();
+        assertThat(keys.differs(id(1), operation("other", Effect.TOKENED), BODY)).isTrue();
+        assertThat(keys.differs(id(2), ORDER, BODY)).isFalse();
+    }
+
     @Test
     void entryIsForgottenBehindItsWindow() {
-        keys.keep(id(1), ORDER, "token", at(10));
+        keys.keep(id(1), ORDER, "token", BODY, at(10));
         ended(1, "done", 1);
         assertThat(order(2, 9.9, 12.1)).isNull();
         assertThat(result(1)).isEqualTo("none");
@@ -71,14 +81,14 @@
 
     @Test
     void erasedEntryTiesNobody() {
-        keys.keep(id(1), ORDER, "token", at(10));
+        keys.keep(id(1), ORDER, "token", BODY, at(10));
         keys.erase(id(1));
         assertThat(order(2, 0, 0)).isNull();
     }
 
     @Test
     void resultIsWaitedForAndThenKept() {
-        keys.keep(id(1), ORDER, "token", at(10));
+        keys.keep(id(1), ORDER, "token", BODY, at(10));
         List<byte[]> results = new ArrayList<>();
         keys.result(id(1), results::add);
         assertThat(results).isEmpty();
@@ -89,7 +99,7 @@
 
     @Test
     void resultThatDoesNotFitLeavesTheMark() {
-        keys.keep(id(1), ORDER, "token", at(10));
+        keys.keep(id(1), ORDER, "token", BODY, at(10));
         ended(1, "x".repeat(20_000), 1);
         assertThat(order(2, 2, 2)).isEqualTo(id(1));
         assertThat(result(1)).isEqualTo("none");
@@ -98,7 +108,7 @@
     @Test
     void bytesOfForgottenResultsAreFree() {
         for (int i = 0; i < 5; i++) {
-            keys.keep(id(i), ORDER, "token" + i, at(10 + 20 * i));
+            keys.keep(id(i), ORDER, "token" + i, BODY, at(10 + 20 * i));
             ended(i, "x".repeat(9_000), 20 * i);
             assertThat(result(i)).hasSize(9_000);
             keys.read(id(100 + i), ORDER, "other", null, at(20 * i), at(19 + 20 * i));
