Count calls in what fits, drop parked work past its objective, stay until the kill when leaving

Hold.misfit left the call out of what an invocation needs, and Choice.overdue let parked work go on to its call past its objective. Ruled out: the run limit (3 of 12), the loop (0.15 core). Now the measured time off the cores counts, and idempotent parked work that cannot be in time any more goes. The order reckons each rate once, and an overdue check no longer fills by itself (twice n log n a beat). It now stays and turns away until just before the kill, and says the longest time to come back.

--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -49,9 +49,7 @@
     /** Room that one who waits needs before its goal: the expected run and so many of its spreads. */
     private static final double SPREADS = 0.5;
     /** Factors on the openness told to callers, up and down each beat, and its least; it halves in 0.7 s. */
-    private static final double OPEN = 1.04;
-    private static final double CLOSE = 0.9;
-    private static final double SHUT = 0.02;
+    private static final double OPEN = 1.04, CLOSE = 0.9, SHUT = 0.02;
     /** Window, by core, that all callers together get at full openness. */
     private static final double WINDOW = 6;
     /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
@@ -200,7 +198,7 @@
             boolean succeeded = end.result() == RunEnd.Result.SUCCEEDED;
             if (succeeded) {
                 limit.ended();
-                hold.measured(work.inv, end.took().minus(work.offCores), now);
+                hold.measured(work, end.took().minus(work.offCores), now);
             }
             boolean never = end.result() == RunEnd.Result.NOTHING;
             Token token = tokens.mark(work.inv.id(),
@@ -311,8 +309,9 @@
         Duration now = server.now();
         if (work.answered || !works.containsKey(work.inv.id())) return;
         boolean due = now.compareTo(min(work.inv.due(), drain.kill).minus(LEAD)) >= 0;
+        Duration end = work.state == Work.State.PARKED ? now.plus(span(calls.took.mean(now, 0))) : now;
         boolean lost = work.ran && work.operation().idempotent() && work.operation().lateShare() == 0
-            && limit.canStop && hold.held.size() > 0 && now.compareTo(goal(work)) > 0;
+            && limit.canStop && hold.held.size() > 0 && end.compareTo(goal(work)) > 0;
         Token mark = tokens.entries.get(work.inv.forerunner());
         boolean held = work.state == Work.State.HELD
             || work.state == Work.State.WAITING && mark != null && mark.state == Token.State.UNRUN;
@@ -327,20 +326,19 @@
             tokens.leave(work);
             fail(server, work);
             if (work.state == Work.State.RUNNING) stopUnwanted(server, work);
-        } else if (lost && work.state == Work.State.RUNNING) {
-            // Past its objective it earns nothing any more, and others wait for its core.
+        } else if (lost && (work.state == Work.State.RUNNING || calls.parked.remove(work))) {
+            // Past its objective it earns nothing any more, and others wait for its core or its call.
             work.answered = true;
             server.throttle(work.inv.id(), signals.advice(wait(now)), true);
             stopUnwanted(server, work);
         }
-        fill(server);
     }
 
     /** Turns away what never ran; {@code last} where no other server could be in time. */
     private void throttle(Server server, Work work, boolean last) {
         Duration now = server.now();
         dropped(server, work);
-        server.throttle(work.inv.id(), signals.advice(wait(now)),
+        server.throttle(work.inv.id(), drain.noticed() ? signals.longest : signals.advice(wait(now)),
             !drain.noticed() && (last || signals.crowded(now, work.inv.resent())));
         signals.throttles.add(now, 1, 1);
         work.answered = true;
@@ -484,7 +482,7 @@
         private final boolean byWork;
         final List<Work> held = new ArrayList<>();
         private final Map<Operation, Ring> taken = new HashMap<>();
-        private final Ring spreads = new Ring(BUCKET, BUCKETS);
+        private final Ring spreads = new Ring(BUCKET, BUCKETS), away = new Ring(BUCKET, RECENT);
 
         public Hold(List<Tenant> tenants, int peers, double overShareWorth, boolean byWork) {
             this.overShareWorth = overShareWorth;
@@ -504,10 +502,11 @@
             return 1;
         }
 
-        void measured(Invocation inv, Duration took, Duration now) {
-            double off = seconds(took) / Math.max(1e-6, expected(inv, now)) - 1;
+        void measured(Work work, Duration took, Duration now) {
+            double off = seconds(took) / Math.max(1e-6, expected(work.inv, now)) - 1;
             spreads.add(now, Math.min(off * off, 9), 1);
-            taken(inv.operation()).add(now, seconds(took), guess(inv));
+            taken(work.operation()).add(now, seconds(took), guess(work.inv));
+            if (work.operation().calls()) away.add(now, seconds(work.offCores), 1);
         }
 
         private Ring taken(Operation o) { return taken.computeIfAbsent(o, x -> new Ring(BUCKET, BUCKETS)); }
@@ -529,8 +528,9 @@
 
         /** Billed value over expected work, and the oldest first. */
         List<Work> ordered(Duration now) {
+            for (Work work : held) work.rate = rate(work, now);
             List<Work> ordered = new ArrayList<>(held);
-            ordered.sort(Comparator.<Work>comparingDouble(w -> -rate(w, now))
+            ordered.sort(Comparator.<Work>comparingDouble(w -> -w.rate)
                 .thenComparing(w -> w.inv.arrived()).thenComparing(w -> w.inv.id().value()));
             return ordered;
         }
@@ -560,7 +560,8 @@
             double fit = 1 + SPREADS * Math.sqrt(spreads.mean(now, 0));
             for (Work work : ordered) {
                 double expected = expected(work.inv, now);
-                double needed = ahead / limit + expected * (ahead == 0 ? 1 : fit);
+                double needed = ahead / limit + expected * (ahead == 0 ? 1 : fit)
+                    + (work.operation().calls() ? away.mean(now, 0) : 0);
                 if (now.plus(span(needed)).compareTo(goal(work)) > 0) {
                     return ahead == first ? work : loser(ordered.subList(0, ordered.indexOf(work) + 1));
                 }
@@ -688,8 +689,7 @@
         private final double window;
         private final Duration longest, longestIdle;
         private final SplittableRandom chance;
-        private final Ring reads = new Ring(BUCKET, RECENT);
-        private final Ring further = new Ring(BUCKET, RECENT);
+        private final Ring reads = new Ring(BUCKET, RECENT), further = new Ring(BUCKET, RECENT);
         private final Ring throttles = new Ring(BUCKET, RECENT);
         private double openness = 1, said = 1;
         private Duration delay = Duration.ZERO, lastAge = Duration.ZERO, readAt = Duration.ZERO;
--- a/src/main/java/ochretiller/Work.java
+++ b/src/main/java/ochretiller/Work.java
@@ -12,6 +12,8 @@
     State state = State.HELD;
     /** Share of its billed value that counts. */
     double worth = 1;
+    /** Its place in the order, as last reckoned. */
+    double rate;
     boolean ran;
     boolean answered;
     Duration startedAt = Duration.ZERO;
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -27,6 +27,8 @@
     private static final Duration ENDING = Duration.ofMillis(150);
     /** A request may cross the word to leave for 50 ms; twice that is waited before connections are closed. */
     private static final Duration CROSSING = Duration.ofMillis(100);
+    /** Time for the last of what runs to be answered, and for what crossed to be turned away. */
+    private static final Duration CLOSING = CROSSING.plusMillis(100);
     private static final Duration LOOK = Duration.ofMillis(20);
     /** Part of the memory limit that kept results may take. */
     private static final int KEYS_PART = 8;
@@ -131,12 +133,13 @@
         if (leaving) return;
         leaving = true;
         LOG.info("leaves");
-        Duration grace = configuration.settings().span("guarantees.stopSendingWithinNs", Duration.ZERO);
         Duration last = configuration.stop().minus(ENDING);
         roster.leave();
         health.set(false, true);
         if (host != null) host.leave(last);
-        Duration closing = grace.compareTo(last.minus(CROSSING)) < 0 ? grace : last.minus(CROSSING);
+        // Gateways learn seconds late that it leaves. What it turns away behind the grace goes on to other servers at once,
+        // what finds no listener does not: so the server stays until just before the kill.
+        Duration closing = last.minus(CLOSING);
         loop.after(closing.isNegative() ? Duration.ZERO : closing, () -> {
             network.closeListener();
             gateway.leave();
