--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -37,8 +37,7 @@
     /** Share of the crowd that a server survives which the run limit may reach: resumed calls come on top. */
     private static final double CROWD = 0.6;
     /** Share of the memory that is used, since more may be read at any time, and that tokens may take. */
-    private static final double MEMORY = 0.9;
-    private static final double TOKENS = 0.4;
+    private static final double MEMORY = 0.9, TOKENS = 0.4;
     /** Share of its slice that calls may be in hand, and least patience in mean times where several are. */
     private static final double SLICE = 0.45;
     private static final double PATIENT = 4;
@@ -52,7 +51,7 @@
     private static final double OPEN = 1.04, CLOSE = 0.9, SHUT = 0.02;
     /** Window, by core, that all callers together get at full openness. */
     private static final double WINDOW = 6;
-    /** Wait in the hold, as a share of the shortest latency objective, at which openness goes down. */
+    /** Wait in the hold or at calls, as a share of the objective, at which openness falls and less fits. */
     private static final double LONG_WAIT = 0.4;
     /** Time unread over which reading is jammed, as a share of the shortest objective. */
     private static final double JAM = 0.2;
@@ -560,8 +559,9 @@
             double fit = 1 + SPREADS * Math.sqrt(spreads.mean(now, 0));
             for (Work work : ordered) {
                 double expected = expected(work.inv, now);
+                double calls = work.operation().calls() ? away.mean(now, 0) : 0; // short: part of the fit
                 double needed = ahead / limit + expected * (ahead == 0 ? 1 : fit)
-                    + (work.operation().calls() ? away.mean(now, 0) : 0);
+                    + (calls > seconds(work.operation().objective()) * LONG_WAIT ? calls : 0);
                 if (now.plus(span(needed)).compareTo(goal(work)) > 0) {
                     return ahead == first ? work : loser(ordered.subList(0, ordered.indexOf(work) + 1));
                 }
--- a/src/main/java/ochretiller/keys/Keys.java
+++ b/src/main/java/ochretiller/keys/Keys.java
@@ -26,6 +26,15 @@
 
     /** What reads share: the operation and what it is about. */
     private record ReadKey(Operation operation, String object) {
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof ReadKey key && key.operation.equals(operation) && key.object.equals(object);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * operation.hashCode() + object.hashCode();
+        }
     }
 
     private static final class Entry {
--- a/src/main/java/ochretiller/model/Operation.java
+++ b/src/main/java/ochretiller/model/Operation.java
@@ -18,6 +18,17 @@
 public record Operation(String name, Effect effect, Duration objective, Duration clientTimeout, double value,
                         double lateShare, Duration window, boolean calls,
                         double degradedShare) {
+    // As with ids: the name, alone among a server's operations, stands for all.
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof Operation operation && operation.name.equals(name);
+    }
+
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+
     public boolean idempotent() {
         return effect == Effect.IDEMPOTENT;
     }
--- a/src/test/java/ochretiller/ChoiceTest.java
+++ b/src/test/java/ochretiller/ChoiceTest.java
@@ -266,6 +266,56 @@
         assertThat(server.beat(Duration.ofMillis(150))).containsExactly("call 1");
     }
 
+    private static final Operation LOOKUP = new Operation("lookup", Effect.IDEMPOTENT, SECOND, SECOND.multipliedBy(4), 1,
+        0, Duration.ZERO, true, 0);
+
+    /** One lookup after another, each long away at its call. */
+    private void slowCalls() {
+        for (long id = 1; id <= 3; id++) {
+            server.arrive(id, LOOKUP, null);
+            server.act(server.choice().blocked(new InvId(id)));
+            server.now = server.now.plusMillis(700);
+            server.endCall(id, CallEnd.Result.SUCCEEDED);
+            server.runs.remove(new InvId(id)).apply(new RunEnd(RunEnd.Result.SUCCEEDED, Duration.ofMillis(800))).act(server);
+        }
+    }
+
+    @Test
+    void longCallsCountInWhatFits() {
+        slowCalls();
+        server.arrive(11, READ, null);
+        server.arrive(12, READ, null);
+        assertThat(server.arrive(13, LOOKUP, null)).singleElement().asString().endsWith(" 13").doesNotStartWith("run");
+        assertThat(server.arrive(14, READ, null)).isEmpty(); // held: it makes no call
+    }
+
+    @Test
+    void parkedWorkThatCannotBeInTimeAnyMoreGivesUpItsCall() {
+        server.slice = 0.5;
+        server.arrive(9, LOOKUP, null);
+        server.act(server.choice().blocked(new InvId(9)));
+        server.now = Duration.ofMillis(100);
+        server.endCall(9, CallEnd.Result.SUCCEEDED);
+        server.end(9, RunEnd.Result.SUCCEEDED);
+        for (long id = 1; id <= 2; id++) {
+            server.arrive(id, LOOKUP, null);
+            server.act(server.choice().blocked(new InvId(id)));
+        }
+        server.beat(Duration.ofMillis(900));
+        server.arrive(3, READ, null);
+        server.arrive(4, READ, null);
+        server.arrive(5, READ, null);
+        assertThat(server.beat(Duration.ofMillis(1050))).contains("last 2", "stop 2").doesNotContain("fail 2");
+    }
+
+    @Test
+    void whoLeavesSaysTheLongestTimeToComeBack() {
+        server.act(server.choice().leave(SECOND.multipliedBy(3)));
+        server.now = SECOND.multipliedBy(2);
+        assertThat(server.arrive(1, READ, null)).containsExactly("throttle 1");
+        assertThat(server.advised).isEqualTo(SECOND);
+    }
+
     @Test
     void blockedRunLeavesItsPlace() {
         busy();
--- a/src/test/java/ochretiller/Fixture.java
+++ b/src/test/java/ochretiller/Fixture.java
@@ -44,6 +44,7 @@
     final Map<InvId, Function<RunEnd, Step>> runs = new HashMap<>();
     final Map<InvId, Function<CallEnd, Step>> calls = new HashMap<>();
     Duration now = Duration.ZERO;
+    Duration advised;
     private final TreeMap<Duration, List<Function<Gauges, Step>>> timers = new TreeMap<>();
     private boolean started;
     double memoryKb = 10_000;
@@ -114,7 +115,10 @@
         say("replay", id);
     }
 
-    @Override public void throttle(InvId id, Duration retryIn, boolean last) { say(last ? "last" : "throttle", id); }
+    @Override public void throttle(InvId id, Duration retryIn, boolean last) {
+        advised = retryIn;
+        say(last ? "last" : "throttle", id);
+    }
 
     @Override public void fail(InvId id) { say("fail", id); }
 
--- a/src/test/java/ochretiller/ServeIT.java
+++ b/src/test/java/ochretiller/ServeIT.java
@@ -324,6 +324,13 @@
         assertThat(gateway.line()).contains("\"green\":false");
         deployment.complete(rid(1), "late");
         expectResult(1, "late");
+        String answer = "\"result\"";
+        for (int id = 3; answer.contains("\"result\""); id++) {
+            gateway.send(read(id, "good")); // until the grace is over
+            answer = gateway.line();
+        }
+        assertThat(answer).contains("\"code\":-32014").contains("\"backoff\":1000").doesNotContain("final");
+        deployment.dial().close(); // it still listens: who comes is told to go on to others
         assertThat(gateway.line()).isEqualTo("{\"jsonrpc\":\"2.0\",\"method\":\"shutdown\"}");
         assertThat(deployment.exit()).isZero();
         await(deployment.log, "connection gateway .* ended: LEAVING");
