--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -32,6 +32,8 @@
     private static final Duration LOOK = Duration.ofMillis(20);
     /** Part of the memory limit that kept results may take. */
     private static final int KEYS_PART = 8;
+    /** Invocations of each operation before the first real one: enough that what each passes through is compiled. */
+    private static final int WARM_UP = 250;
     /** Part of the descriptors that calls may take. */
     private static final int CALLS_PART = 8;
 
@@ -72,6 +74,8 @@
 
     /** Listens; a failure to do so is the caller's to tell. */
     public void listen() throws IOException {
+        Choice unused = Settings.choice(configuration.settings(), new SplittableRandom(configuration.seed()), false);
+        new WarmUp(unused).work(List.copyOf(configuration.operations().values()), WARM_UP);
         network.listen(configuration.listen(), gateway::accepted);
         link.connect();
         loop.post(roster::start);
