--- a/src/main/java/ochretiller/Choice.java
+++ b/src/main/java/ochretiller/Choice.java
@@ -39,8 +39,7 @@
     /** Share of the memory that is used, since more may be read at any time, and that tokens may take. */
     private static final double MEMORY = 0.9, TOKENS = 0.4;
     /** Share of its slice that calls may be in hand, and least patience in mean times where several are. */
-    private static final double SLICE = 0.45;
-    private static final double PATIENT = 4;
+    private static final double SLICE = 0.45, PATIENT = 4;
     /** Started invocations waiting for a place at a call, by core: more only fill memory. */
     private static final int PARKED = 2;
     /** Expected work before any was measured, as a share of the latency objective. */
@@ -279,8 +278,8 @@
             drain.notice(server.now(), kill);
             server.after(until(kill.minus(LEAD), server.now()), gauges -> this::answerDue);
             server.health(false, true);
-            signals.openness = 0;
-            signals.say(server);
+            // Until the grace is over it is of use, and its successor may not be known yet.
+            server.after(until(drain.lastRun, server.now()), gauges -> then -> signals.say(then, 0));
         };
     }
 
@@ -337,7 +336,8 @@
     private void throttle(Server server, Work work, boolean last) {
         Duration now = server.now();
         dropped(server, work);
-        server.throttle(work.inv.id(), drain.noticed() ? signals.longest : signals.advice(wait(now)),
+        Duration back = after(now, drain.lastRun) ? signals.longest : signals.advice(wait(now));
+        server.throttle(work.inv.id(), back,
             !drain.noticed() && (last || signals.crowded(now, work.inv.resent())));
         signals.throttles.add(now, 1, 1);
         work.answered = true;
@@ -740,8 +740,7 @@
                 server.health(healthy, true);
             }
             boolean tooLong = seconds(wait) > seconds(objective) * LONG_WAIT || jammed(objective, JAM);
-            openness = Math.max(SHUT, Math.min(1, openness * (tooLong ? CLOSE : OPEN)));
-            say(server);
+            say(server, Math.max(SHUT, Math.min(1, openness * (tooLong ? CLOSE : OPEN))));
         }
 
         /** Guards against a full table, which turns callers away unread and takes a part of the cores. */
@@ -753,7 +752,8 @@
             if (!next.equals(idle)) server.idleAfter(idle = next);
         }
 
-        private void say(Server server) {
+        private void say(Server server, double open) {
+            openness = open;
             if (advert == Advert.NONE || openness == said) return;
             said = openness;
             double scaled = advert == Advert.WINDOW ? openness * window : openness;
--- a/src/test/java/ochretiller/ChoiceTest.java
+++ b/src/test/java/ochretiller/ChoiceTest.java
@@ -308,6 +308,14 @@
         assertThat(server.beat(Duration.ofMillis(1050))).contains("last 2", "stop 2").doesNotContain("fail 2");
     }
 
+    @Test
+    void whoLeavesIsOpenUntilItsGraceIsOver() {
+        server.advert = Advert.SHARE;
+        assertThat(server.act(server.choice().leave(SECOND.multipliedBy(3)))).containsExactly("unwell");
+        assertThat(server.beat(Duration.ofMillis(800))).noneMatch(said -> said.startsWith("advertise"));
+        assertThat(server.beat(SECOND)).contains("advertise 0.0");
+    }
+
     @Test
     void whoLeavesSaysTheLongestTimeToComeBack() {
         server.act(server.choice().leave(SECOND.multipliedBy(3)));
