Decide on members of a fleet: probes, suspicion, refutation, views compared

Need: the servers are to know of one another without anybody's registry, and the view has to settle again behind joins, crashes and cuts.

fleet.members decides it as pure code (messages, time and chance in; messages and changes out); fleet.peers has the envelope, its seal, the window against replays and the bounds at the door; the emulator plays scripts of faults and drawn ones round the same decisions. No server uses them yet.

--- /dev/null
+++ b/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
@@ -0,0 +1,104 @@
+package ochretiller.emulator;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import ochretiller.emulator.fleet.Drawn;
+import ochretiller.emulator.fleet.FleetOutcome;
+import ochretiller.emulator.fleet.FleetScript;
+import ochretiller.emulator.fleet.FleetScriptFile;
+import ochretiller.emulator.fleet.FleetWorld;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Fleets in virtual time. Exit codes as those of {@link Rehearse}. */
+@Command(name = "fleet", mixinStandardHelpOptions = true, description = "Play faults on a fleet of servers and between them.")
+final class FleetCommands implements Runnable {
+    private static final int MISSED = 1;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is needed");
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a script with some seeds.")
+    int run(@Parameters(description = "The script, in JSON5.") Path file, @Option(names = "--seed", defaultValue = "1") long seed,
+            @Option(names = "--seeds", defaultValue = "10") int seeds,
+            @Option(names = "--members", description = "As many members as this, instead of the script's.") Integer members) throws Exception {
+        FleetScript read = FleetScriptFile.read(file);
+        FleetScript script = members == null ? read : read.sized(members);
+        List<Callable<FleetOutcome>> runs = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) {
+            long each = seed + i;
+            runs.add(() -> new FleetWorld(script, each, true).play());
+        }
+        int missed = 0;
+        int number = 0;
+        for (Future<FleetOutcome> each : all(runs)) {
+            FleetOutcome outcome = each.get();
+            System.out.printf(Locale.ROOT, "seed %d: settled %.1f s, verdicts %d, false %d, changes of one at most %d, known p50 %.0f p99 %.0f ms, "
+                + "packets a member a second %.1f, bytes %.0f, most packets %d, refuted %d of %d suspicions, twins %d%n", seed + number, outcome.settledS,
+                outcome.verdicts, outcome.falseVerdicts, outcome.changesEach, outcome.knownMs(50), outcome.knownMs(99),
+                outcome.packets / outcome.memberSeconds, outcome.bytes / outcome.memberSeconds, outcome.mostPackets, outcome.refuted,
+                outcome.suspected, outcome.twins);
+            List<String> wrong = outcome.missed(script.expect());
+            for (String line : wrong) System.out.println("  missed: " + line);
+            outcome.notes.forEach(line -> System.out.println("  " + line));
+            missed += wrong.size();
+            number++;
+        }
+        return missed == 0 ? 0 : MISSED;
+    }
+
+    @Command(name = "drawn", mixinStandardHelpOptions = true,
+        description = "Play scripts drawn by chance, 5 to 50 members each; a seed that fails is printed, and --seed N --seeds 1 plays it again.")
+    int drawn(@Option(names = "--seed", defaultValue = "1") long seed, @Option(names = "--seeds", defaultValue = "1000") int seeds,
+              @Option(names = "--settled", defaultValue = "30", description = "Seconds within which views must settle.") double settled) throws Exception {
+        List<Callable<FleetOutcome>> runs = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) {
+            long each = seed + i;
+            runs.add(() -> new FleetWorld(Drawn.script(each, settled), each, false).play());
+        }
+        List<Double> times = new ArrayList<>();
+        int failed = 0;
+        int falsely = 0;
+        int number = 0;
+        for (Future<FleetOutcome> each : all(runs)) {
+            FleetOutcome outcome = each.get();
+            falsely += outcome.falseVerdicts;
+            times.add(outcome.settledS);
+            if (outcome.settledS > settled) {
+                failed++;
+                System.out.printf(Locale.ROOT, "seed %d: settled %.1f s%n", seed + number, outcome.settledS);
+                outcome.notes.forEach(line -> System.out.println("  " + line));
+            }
+            if (seeds == 1) System.out.println(Drawn.script(seed, settled) + "\n" + outcome.notes);
+            if (++number % 1000 == 0) System.err.println(number + " of " + seeds);
+        }
+        times.sort(null);
+        System.out.printf(Locale.ROOT, "%d schedules, %d unsettled; settled p50 %.1f s, p99 %.1f s, most %.1f s; %d false verdicts%n", seeds, failed,
+            times.get(seeds / 2), times.get((int) Math.min(seeds - 1L, seeds * 99L / 100)), times.get(seeds - 1), falsely);
+        return failed == 0 ? 0 : MISSED;
+    }
+
+    private static <T> List<Future<T>> all(List<Callable<T>> runs) throws InterruptedException {
+        ExecutorService threads = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors(), work -> {
+            Thread thread = new Thread(work, "fleet");
+            thread.setDaemon(true);
+            return thread;
+        });
+        List<Future<T>> futures = new ArrayList<>();
+        for (Callable<T> each : runs) futures.add(threads.submit(each));
+        return futures;
+    }
+}
--- a/emulator/src/main/java/ochretiller/emulator/Rehearse.java
+++ b/emulator/src/main/java/ochretiller/emulator/Rehearse.java
@@ -29,7 +29,7 @@
 import picocli.CommandLine.Parameters;
 
 /** The rehearsal's command line. Exit codes: 0 good, 1 an expectation was missed or a rule broken, 2 wrong words or script. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = "Play incidents in virtual time round the server's decisions.")
+@Command(name = "rehearse", mixinStandardHelpOptions = true, subcommands = FleetCommands.class, description = "Play incidents in virtual time round the server's decisions.")
 final class Rehearse implements Runnable {
     private static final int MISSED = 1;
     private static final int WRONG = 2;
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/members/Address.java
@@ -0,0 +1,19 @@
+package ochretiller.fleet.members;
+
+/** Where a server is asked, as numbers: a decision never looks up a name. */
+public record Address(String host, int port) {
+    /** Longest address in characters. */
+    public static final int LONGEST = 45;
+
+    /** As {@code 10.0.0.4:4100}; an {@link IllegalArgumentException} for what is none. */
+    public static Address of(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1 || colon > LONGEST) throw new IllegalArgumentException("no address: '" + text + "'");
+        return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return host + ':' + port;
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/members/Rumours.java
@@ -0,0 +1,73 @@
+package ochretiller.fleet.members;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** News that goes with other messages, each a bounded number of times, what was carried least first. */
+final class Rumours {
+    private static final class Rumour {
+        final long start;
+        boolean full;
+        int carried;
+
+        Rumour(long start) {
+            this.start = start;
+        }
+    }
+
+    private final Map<Long, Rumour> all = new LinkedHashMap<>();
+
+    /** There is news of this member; what it is, is read from the table when it goes out. */
+    void add(long start, boolean full) {
+        Rumour known = all.remove(start);
+        Rumour fresh = new Rumour(start);
+        fresh.full = full || known != null && known.full;
+        all.put(start, fresh);
+    }
+
+    int size() {
+        return all.size();
+    }
+
+    /**
+     * News for one message.
+     *
+     * @param most  how often each is carried
+     * @param first an entry that goes out in any case, or null
+     */
+    Message.News take(Table table, Member self, int most, Entry first) {
+        List<Entry> entries = new ArrayList<>();
+        List<Member> full = new ArrayList<>();
+        if (first != null) entries.add(first);
+        if (all.isEmpty()) return entries.isEmpty() ? Message.News.NONE : new Message.News(entries, full);
+        List<Rumour> order = new ArrayList<>(all.values());
+        if (order.size() > Message.ENTRIES) order.sort(Comparator.comparingInt(each -> each.carried));
+        for (Rumour each : order) {
+            Known known = table.get(each.start);
+            Member member = each.start == self.start() ? self : known == null ? null : known.member;
+            if (member == null || known != null && known.unsaid) {
+                all.remove(each.start);
+                continue;
+            }
+            if (each.full) {
+                if (full.size() == Message.FULL) continue;
+                full.add(member);
+            } else {
+                if (entries.size() == Message.ENTRIES) continue;
+                entries.add(entry(member, known));
+            }
+            if (++each.carried >= most) all.remove(each.start);
+        }
+        return new Message.News(entries, full);
+    }
+
+    static Entry entry(Member member, Known known) {
+        long by = 0;
+        if (known != null && member.state() == State.SUSPECT) for (Iterator<Long> i = known.accusers.iterator(); i.hasNext();) by = i.next();
+        return member.entry(by);
+    }
+}
--- a/src/test/java/ochretiller/ArchitectureTest.java
+++ b/src/test/java/ochretiller/ArchitectureTest.java
@@ -22,17 +22,17 @@
         List.of("operator"),
         List.of("workers"),
         List.of("gateway", "uwsgi"),
-        List.of("paths", "front", "json5"),
+        List.of("paths", "front", "json5", "fleet.peers"),
         List.of("settings"),
         List.of("policy"),
         List.of("processor", "records", "roster"),
         List.of("keys", "contracts"),
         List.of("net", "standin", "runs"),
-        List.of("text", "store", "remembered", "metrics", "pools", "budgets"),
+        List.of("text", "store", "remembered", "metrics", "pools", "budgets", "fleet.members"),
         List.of("server", "spans"),
         List.of("model"));
     /** Settings put the decisions together; they read values and do nothing else. */
-    private static final List<String> DECISIONS = List.of("policy", "spans", "model", "server", "remembered", "pools", "budgets", "contracts");
+    private static final List<String> DECISIONS = List.of("policy", "spans", "model", "server", "remembered", "pools", "budgets", "contracts", "fleet.members");
 
     private final JavaClasses classes = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
         .importPackages("ochretiller");
--- /dev/null
+++ b/src/test/java/ochretiller/fleet/peers/CodecTest.java
@@ -0,0 +1,144 @@
+package ochretiller.fleet.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import ochretiller.fleet.members.Address;
+import ochretiller.fleet.members.Entry;
+import ochretiller.fleet.members.Member;
+import ochretiller.fleet.members.MemberId;
+import ochretiller.fleet.members.Message;
+import ochretiller.fleet.members.Packet;
+import ochretiller.fleet.members.State;
+import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
+import org.junit.jupiter.api.Test;
+
+/** The envelope: what goes in comes out, and nothing else is taken. */
+class CodecTest {
+    private static final String KEY = "a key that is long enough";
+    private final Codec codec = new Codec("parts", FleetKeys.of(KEY));
+    private final Member from = new Member(new MemberId("n1", -5), new Address("10.0.0.1", 4200), "z1", "0.1", new Address("10.0.0.1", 4100), 3,
+        State.HERE);
+    private final Message.News news = new Message.News(List.of(new Entry(-9, 4, State.SUSPECT, 8), new Entry(7, 1, State.LEFT, 0)),
+        List.of(new Member(new MemberId("n2", 6), new Address("10.0.0.2", 4200), "", "", null, 0, State.JOINING)));
+
+    private List<Message> all() {
+        return List.of(new Message.Ping(1, -2, news, Long.MIN_VALUE), new Message.Ack(Long.MAX_VALUE, news, 5),
+            new Message.Ask(3, 4, new Address("10.0.0.9", 65535)), new Message.Reached(9, new Entry(1, 2, State.HERE, 0)),
+            new Message.Sync(List.of(1L, -1L, 0L), true), new Message.States(news.entries()), new Message.Want(List.of(4L, 5L)),
+            new Message.Full(news.full()));
+    }
+
+    private static void refused(ThrowingCallable call, Refused why) {
+        assertThatThrownBy(call).isInstanceOfSatisfying(RefusedException.class, e -> assertThat(e.why()).isEqualTo(why));
+    }
+
+    @Test
+    void eachKindComesBackAsItWas() throws RefusedException {
+        for (Message message : all()) {
+            byte[] bytes = codec.seal(new Packet(from, message), 77);
+            Codec.Opened opened = codec.open(bytes, bytes.length);
+            assertThat(opened.packet()).isEqualTo(new Packet(from, message));
+            assertThat(opened.sequence()).isEqualTo(77);
+        }
+    }
+
+    @Test
+    void eachByteThatIsAnotherIsRefused() {
+        byte[] good = codec.seal(new Packet(from, all().get(0)), 1);
+        for (int i = 0; i < good.length; i++) {
+            byte[] bad = good.clone();
+            bad[i] ^= 0x41;
+            assertThatThrownBy(() -> codec.open(bad, bad.length)).isInstanceOf(RefusedException.class);
+        }
+        for (int length = 0; length < good.length; length++) {
+            int cut = length;
+            assertThatThrownBy(() -> codec.open(Arrays.copyOf(good, cut), cut)).isInstanceOf(RefusedException.class);
+        }
+    }
+
+    @Test
+    void anotherKeyOrFleetIsNamed() {
+        byte[] other = new Codec("parts", FleetKeys.of("a key of somebody else's")).seal(new Packet(from, all().get(0)), 1);
+        refused(() -> codec.open(other, other.length), Refused.FORGED);
+        byte[] fleet = new Codec("orders", FleetKeys.of(KEY)).seal(new Packet(from, all().get(0)), 1);
+        refused(() -> codec.open(fleet, fleet.length), Refused.OTHER_FLEET);
+    }
+
+    @Test
+    void aKeyIsChangedWithoutAPacketLost() throws RefusedException {
+        Codec both = new Codec("parts", FleetKeys.of("the key that comes next", KEY));
+        byte[] old = codec.seal(new Packet(from, all().get(0)), 1);
+        assertThat(both.open(old, old.length).packet().from()).isEqualTo(from);
+        Codec adds = new Codec("parts", FleetKeys.of(KEY, "the key that comes next"));
+        byte[] next = both.seal(new Packet(from, all().get(0)), 1);
+        assertThat(adds.open(next, next.length).packet().from()).isEqualTo(from);
+    }
+
+    /** What stands between head and seal, sealed anew: only somebody with the key can write it. */
+    private byte[] sealed(byte[] bytes) {
+        int body = bytes.length - FleetKeys.SEAL;
+        System.arraycopy(FleetKeys.of(KEY).seal(bytes, body), 0, bytes, body, FleetKeys.SEAL);
+        return bytes;
+    }
+
+    @Test
+    void aNewerProgramIsHeardWhereItAllowsIt() throws RefusedException {
+        byte[] newer = codec.seal(new Packet(from, all().get(0)), 1);
+        newer[2] = 9;
+        assertThat(codec.open(sealed(newer), newer.length).packet().from()).isEqualTo(from);
+        newer[3] = 9;
+        refused(() -> codec.open(sealed(newer), newer.length), Refused.NEWER);
+    }
+
+    @Test
+    void noBytesHoweverSealedDoHarm() {
+        SplittableRandom chance = new SplittableRandom(3);
+        List<byte[]> good = new ArrayList<>();
+        for (Message message : all()) good.add(codec.seal(new Packet(from, message), 1));
+        int taken = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = good.get(i % good.size()).clone();
+            for (int hits = 1 + chance.nextInt(3); hits > 0; hits--) {
+                bytes[6 + chance.nextInt(bytes.length - 6 - FleetKeys.SEAL)] = (byte) chance.nextInt();
+            }
+            sealed(bytes);
+            try {
+                codec.open(bytes, bytes.length);
+                taken++;
+            } catch (RefusedException e) {
+                assertThat(e.why()).isIn(Refused.MALFORMED, Refused.KIND, Refused.OTHER_FLEET);
+            }
+        }
+        assertThat(taken).as("some spoil a number only").isPositive();
+    }
+
+    @Test
+    void aPacketIsTakenOnceInAnyOrder() {
+        Window window = new Window();
+        List<Long> order = new ArrayList<>();
+        for (long i = 1; i <= 500; i++) order.add(i);
+        java.util.Collections.shuffle(order, new java.util.Random(1));
+        for (long i : order) assertThat(window.take(5, i)).isTrue();
+        for (long i : order) assertThat(window.take(5, i)).isFalse();
+        assertThat(window.take(6, 3)).as("another start").isTrue();
+        assertThat(window.take(5, 100_000)).isTrue();
+        assertThat(window.take(5, 501)).as("too far behind").isFalse();
+        assertThat(window.take(5, 0)).isFalse();
+    }
+
+    @Test
+    void aFloodSpendsItsOwnBudget() {
+        PeerBudget budget = new PeerBudget(0);
+        InetSocketAddress loud = new InetSocketAddress("127.0.0.1", 1);
+        int taken = 0;
+        for (int i = 0; i < 10_000; i++) if (budget.take(loud, 100, 1_000_000)) taken++;
+        assertThat(taken).isBetween(250, 400);
+        assertThat(budget.take(new InetSocketAddress("127.0.0.1", 2), 100, 1_000_000)).isTrue();
+    }
+}
