Take part in a fleet: datagrams, an operators' door, fleet view, ping and leave

Need: servers that the operators' file puts into a fleet have to find one another on real sockets, and people have to see what each thinks.

fleet.peers.Fleet drives the decisions on the loop; PeerSocket reads on one thread behind bounds; the door answers the commands' words, each sealed with its connection's challenge. A pool prefers workers that the view sees, where any are left. Without `fleet` in the operators' file none of it is loaded.

--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -5,8 +5,10 @@
 import java.util.concurrent.Callable;
 import java.util.function.Supplier;
 import ochretiller.commands.ContractCommand;
+import ochretiller.commands.FleetCommand;
 import ochretiller.commands.StoreCommand;
 import ochretiller.commands.TryCommand;
+import ochretiller.fleet.peers.FleetKeys;
 import ochretiller.node.Configuration;
 import ochretiller.node.Hangup;
 import ochretiller.node.Logs;
@@ -23,7 +25,7 @@
 /** The program's entry: hands over to the part that the first word names. */
 @Command(name = "ochretiller", description = "Admission and scheduling for servers behind other people's balancers.",
     mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-    subcommands = {StoreCommand.class, TryCommand.class, ContractCommand.class})
+    subcommands = {StoreCommand.class, TryCommand.class, ContractCommand.class, FleetCommand.class})
 public final class Main implements Runnable {
     private static final int FAILED = 1;
     private static final int WRONG = 2;
@@ -114,6 +116,7 @@
                 Node.routes(operator, configuration);
                 Node.plans(operator, configuration);
             }
+            operator.fleet().ifPresent(fleet -> FleetKeys.read(fleet.keyFile()));
             System.out.println("the operators' file " + operatorFile + " is good");
         }
         if (!alone) System.out.println("the configuration of " + configuration.name() + " is good");
--- /dev/null
+++ b/src/main/java/ochretiller/commands/FleetCommand.java
@@ -0,0 +1,189 @@
+package ochretiller.commands;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import ochretiller.fleet.members.Address;
+import ochretiller.fleet.peers.FleetClient;
+import ochretiller.fleet.peers.FleetKeys;
+import ochretiller.fleet.peers.FleetSettings;
+import ochretiller.operator.OperatorFile;
+import ochretiller.settings.MalformedException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Asks a server of a fleet. Exit codes: 0 done, 1 it could not be asked, 2 wrong words or file. */
+@Command(name = "fleet", mixinStandardHelpOptions = true, description = "Ask a server how it sees its fleet, or tell it to leave.")
+public final class FleetCommand implements Runnable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    /** Between two looks at a server that leaves. */
+    private static final int LOOK_MS = 250;
+    private static final int FAILED = 1;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    /** Whom to ask. */
+    static final class Whom {
+        @Option(names = "--operator", required = true, description = "An operators' file of this fleet: its name, its keys, and the server to ask.")
+        Path operator;
+        @Option(names = "--at", paramLabel = "ADDRESS", description = "Ask the server at this address of the fleet instead.")
+        String at;
+        @Option(names = "--json", description = "Say it as JSON.")
+        boolean json;
+
+        FleetClient dial() throws IOException {
+            FleetSettings settings = OperatorFile.read(operator).fleet()
+                .orElseThrow(() -> new MalformedException(operator + " has no fleet"));
+            InetSocketAddress address = settings.listen();
+            if (at != null) {
+                try {
+                    Address told = Address.of(at);
+                    address = new InetSocketAddress(told.host(), told.port());
+                } catch (IllegalArgumentException e) {
+                    throw new MalformedException("--at is no address: '" + at + "'");
+                }
+            }
+            try {
+                return new FleetClient(address, settings.fleet(), FleetKeys.read(settings.keyFile()));
+            } catch (IOException e) {
+                throw new IOException("cannot ask the server at " + address + ": " + e.getMessage(), e);
+            }
+        }
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is needed");
+    }
+
+    @Command(name = "view", mixinStandardHelpOptions = true, description = "How a server sees its fleet.")
+    int view(@CommandLine.Mixin Whom whom,
+             @Option(names = "--watch", paramLabel = "SECONDS", description = "Go on, and tell what changes.") Double watch,
+             @Option(names = "--times", description = "With --watch: end behind so many looks.") Integer times) throws IOException, InterruptedException {
+        JsonNode view = ask(whom, "view");
+        show(view, whom.json);
+        if (watch == null) return 0;
+        for (int i = 1; times == null || i < times; i++) {
+            Thread.sleep((long) Math.max(LOOK_MS, watch * 1000));
+            JsonNode next;
+            try {
+                next = ask(whom, "view");
+            } catch (IOException e) {
+                System.err.println(e.getMessage()); // a watch outlives the restart of whom it watches
+                continue;
+            }
+            if (whom.json) show(next, true);
+            else changes(view, next);
+            view = next;
+        }
+        return 0;
+    }
+
+    private static JsonNode ask(Whom whom, String word) throws IOException {
+        try (FleetClient client = whom.dial()) {
+            return JSON.readTree(client.ask(word));
+        }
+    }
+
+    private void show(JsonNode view, boolean json) {
+        PrintWriter out = spec.commandLine().getOut();
+        if (json) {
+            out.println(view);
+            out.flush();
+            return;
+        }
+        Map<String, Integer> states = new TreeMap<>();
+        out.printf("%-20s %-8s %-22s %-10s %-18s %9s %s%n", "member", "state", "address", "zone", "build", "for", "start");
+        for (JsonNode each : view.get("members")) {
+            states.merge(each.get("state").asText(), 1, Integer::sum);
+            out.printf(Locale.ROOT, "%-20s %-8s %-22s %-10s %-18s %8.1fs %s%s%n", each.get("name").asText(), each.get("state").asText(),
+                each.get("address").asText(), each.get("zone").asText(), each.get("build").asText(), each.get("for_ms").asLong() / 1e3,
+                each.get("start").asText(), each.get("self").asBoolean() ? "  (asked)" : "");
+        }
+        out.printf("fleet %s: %s; digest %s, doubt %d%n", view.get("fleet").asText(), states, view.get("digest").asText(), view.get("doubt").asInt());
+        if (view.get("refused").size() > 0) out.println("refused packets: " + view.get("refused"));
+        out.flush();
+    }
+
+    private static Map<String, String> states(JsonNode view) {
+        Map<String, String> states = new TreeMap<>();
+        view.get("members").forEach(each -> states.put(each.get("name").asText() + '/' + each.get("start").asText(), each.get("state").asText()));
+        return states;
+    }
+
+    private void changes(JsonNode before, JsonNode after) {
+        PrintWriter out = spec.commandLine().getOut();
+        Map<String, String> was = states(before);
+        Map<String, String> is = states(after);
+        is.forEach((member, state) -> {
+            String old = was.remove(member);
+            if (!state.equals(old)) out.println(member + ": " + (old == null ? "new" : old) + " -> " + state);
+        });
+        was.forEach((member, state) -> out.println(member + ": " + state + " -> forgotten"));
+        out.flush();
+    }
+
+    @Command(name = "ping", mixinStandardHelpOptions = true, description = "How fast a server answers at its fleet's door.")
+    int ping(@CommandLine.Mixin Whom whom, @Option(names = "--times", defaultValue = "10", description = "${DEFAULT-VALUE} by default.") int times)
+        throws IOException {
+        PrintWriter out = spec.commandLine().getOut();
+        try (FleetClient client = whom.dial()) {
+            long[] micros = new long[Math.max(1, Math.min(99, times))];
+            for (int i = 0; i < micros.length; i++) {
+                long began = System.nanoTime();
+                client.ask("ping");
+                micros[i] = (System.nanoTime() - began) / 1000;
+            }
+            Arrays.sort(micros);
+            long least = micros[0];
+            long middle = micros[micros.length / 2];
+            long most = micros[micros.length - 1];
+            if (whom.json) {
+                ObjectNode told = JSON.createObjectNode().put("name", client.name()).put("times", micros.length);
+                out.println(told.put("least_us", least).put("p50_us", middle).put("most_us", most));
+            } else {
+                out.printf("%s: %d answers, least %d us, p50 %d us, most %d us%n", client.name(), micros.length, least, middle, most);
+            }
+            out.flush();
+        }
+        return 0;
+    }
+
+    @Command(name = "leave", mixinStandardHelpOptions = true, description = "Tell a server to drain and end, as SIGTERM does; waits until it is gone.")
+    int leave(@CommandLine.Mixin Whom whom, @Option(names = "--within", defaultValue = "60", description = "Seconds to wait.") int within)
+        throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        String name;
+        try (FleetClient client = whom.dial()) {
+            name = client.name();
+            client.ask("leave");
+        }
+        long until = System.nanoTime() + within * 1_000_000_000L;
+        while (System.nanoTime() < until) {
+            Thread.sleep(LOOK_MS);
+            try {
+                ask(whom, "ping");
+                if (!whom.json) System.err.println(name + " drains");
+            } catch (IOException e) {
+                boolean gone = e.getCause() instanceof ConnectException;
+                if (!gone) continue; // it was cut off in the midst of an answer: not gone yet, or just now
+                out.println(whom.json ? JSON.createObjectNode().put("name", name).put("gone", true).toString() : name + " is gone");
+                out.flush();
+                return 0;
+            }
+        }
+        System.err.println(name + " still answers after " + within + " s");
+        return FAILED;
+    }
+}
--- a/src/main/java/ochretiller/fleet/members/Members.java
+++ b/src/main/java/ochretiller/fleet/members/Members.java
@@ -158,6 +158,13 @@
         return all;
     }
 
+    /** Whether anybody who is alive serves at this address: a start may be gone and its successor there. */
+    public boolean serving(Address address) {
+        if (address == null) return false;
+        for (Known known : table.all()) if (known.member.state().live() && address.equals(known.member.serves())) return true;
+        return false;
+    }
+
     /** All that are known, this server first, then by name. */
     public List<Seen> view() {
         List<Seen> all = new ArrayList<>();
@@ -500,6 +507,7 @@
             wanted(want, from);
         } else if (message instanceof Message.Full full && trusted) {
             for (Member member : full.members()) told(member, false);
+            if (self.state() == State.JOINING) joined();
         }
     }
 
--- a/src/main/java/ochretiller/fleet/peers/Codec.java
+++ b/src/main/java/ochretiller/fleet/peers/Codec.java
@@ -34,7 +34,7 @@
     private static final int MOST = 256;
 
     private final String fleet;
-    private final FleetKeys keys;
+    private volatile FleetKeys keys;
 
     /**
      * What was opened.
@@ -50,6 +50,19 @@
         this.keys = keys;
     }
 
+    /** Other keys hold from here on; from any thread. */
+    void become(FleetKeys next) {
+        keys = next;
+    }
+
+    FleetKeys keys() {
+        return keys;
+    }
+
+    String fleet() {
+        return fleet;
+    }
+
     public byte[] seal(Packet packet, long sequence) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(512);
         out.writeBytes(new byte[] {'O', 'F', VERSION, VERSION, 0, 0});
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/peers/FleetClient.java
@@ -0,0 +1,71 @@
+package ochretiller.fleet.peers;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import ochretiller.settings.MalformedException;
+
+/** An operators' command's side of the door: asks one server, within a bounded time. */
+public final class FleetClient implements AutoCloseable {
+    private static final int WITHIN_MS = 5_000;
+
+    private final Socket socket = new Socket();
+    private final FleetKeys keys;
+    private final String fleet;
+    private final String challenge;
+    private final String name;
+
+    public FleetClient(InetSocketAddress address, String fleet, FleetKeys keys) throws IOException {
+        this.keys = keys;
+        this.fleet = fleet;
+        try {
+            socket.setSoTimeout(WITHIN_MS);
+            socket.setTcpNoDelay(true);
+            socket.connect(address, WITHIN_MS);
+            socket.getOutputStream().write('?');
+            Sealed.Said hello = read();
+            challenge = hello.challenge();
+            name = hello.text();
+        } catch (IOException | RuntimeException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** The name of the server that was reached. */
+    public String name() {
+        return name;
+    }
+
+    /** What the server answers to a word. */
+    public String ask(String word) throws IOException {
+        socket.getOutputStream().write(Sealed.frame(keys, new Sealed.Said(fleet, challenge, word, "")));
+        Sealed.Said said = read();
+        if (!said.challenge().equals(challenge) || !said.word().equals(word)) throw new IOException("the server answered something else");
+        return said.text();
+    }
+
+    private Sealed.Said read() throws IOException {
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        byte[] head = new byte[4];
+        in.readFully(head);
+        int length = Sealed.length(head, head.length);
+        if (length < head.length || length > Sealed.LONGEST_ANSWER) throw new IOException("the server's answer has no good length");
+        byte[] frame = new byte[length];
+        System.arraycopy(head, 0, frame, 0, head.length);
+        in.readFully(frame, head.length, length - head.length);
+        try {
+            Sealed.Said said = Sealed.open(keys, frame);
+            if (!said.fleet().equals(fleet)) throw new MalformedException("the server is of fleet " + said.fleet());
+            return said;
+        } catch (RefusedException e) {
+            throw new MalformedException("the server's answer is not sealed with this key");
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/peers/FleetSettings.java
@@ -0,0 +1,20 @@
+package ochretiller.fleet.peers;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import ochretiller.fleet.members.Address;
+import ochretiller.fleet.members.Pace;
+
+/**
+ * A server's part in a fleet, as the operators tell it.
+ *
+ * @param fleet     its name; packets of others are refused
+ * @param listen    where peers and the operators' commands come to
+ * @param advertise where peers are told to come to, if that is another address
+ * @param serves    what else is told of it: where it serves
+ * @param keyFile   keys that seal and open
+ */
+public record FleetSettings(String fleet, InetSocketAddress listen, Address advertise, Address serves, Path keyFile, List<Address> seeds,
+                            String zone, Pace pace) {
+}
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/peers/Views.java
@@ -0,0 +1,55 @@
+package ochretiller.fleet.peers;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.Locale;
+import ochretiller.fleet.members.Members;
+import ochretiller.fleet.members.Seen;
+
+/** A view as JSON, as the operators' commands read it. */
+final class Views {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private Views() {
+    }
+
+    static String json(String fleet, Members members, PeerSocket socket) {
+        StringWriter out = new StringWriter(1024);
+        try (JsonGenerator to = JSON.createGenerator(out)) {
+            to.writeStartObject();
+            to.writeStringField("fleet", fleet);
+            to.writeStringField("digest", Long.toHexString(members.digest()));
+            to.writeNumberField("doubt", members.doubt());
+            to.writeNumberField("news", members.news());
+            to.writeNumberField("sent_bytes", socket.sentBytes.sum());
+            to.writeNumberField("read_bytes", socket.readBytes.sum());
+            to.writeObjectFieldStart("refused");
+            for (Refused why : Refused.values()) {
+                if (socket.refused(why) > 0) to.writeNumberField(why.name().toLowerCase(Locale.ROOT), socket.refused(why));
+            }
+            to.writeEndObject();
+            to.writeArrayFieldStart("members");
+            for (Seen seen : members.view()) {
+                to.writeStartObject();
+                to.writeStringField("name", seen.member().id().name());
+                to.writeStringField("start", Long.toHexString(seen.member().start()));
+                to.writeStringField("state", seen.member().state().name());
+                to.writeStringField("address", seen.member().address().toString());
+                to.writeStringField("zone", seen.member().zone());
+                to.writeStringField("build", seen.member().build());
+                if (seen.member().serves() != null) to.writeStringField("serves", seen.member().serves().toString());
+                to.writeNumberField("number", seen.member().number());
+                to.writeNumberField("for_ms", seen.age().toMillis());
+                to.writeBooleanField("self", seen.self());
+                to.writeEndObject();
+            }
+            to.writeEndArray();
+            to.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // a writer in memory does not fail
+        }
+        return out.toString();
+    }
+}
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -1,6 +1,7 @@
 package ochretiller.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,6 +13,9 @@
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import ochretiller.policy.Choice;
+import ochretiller.fleet.members.Address;
+import ochretiller.fleet.peers.Fleet;
+import ochretiller.fleet.peers.FleetSettings;
 import ochretiller.front.Callers;
 import ochretiller.front.Failure;
 import ochretiller.front.Try;
@@ -78,6 +82,8 @@
     private final Workers workers;
     private final Metrics metrics = new Metrics();
     private final Recall recall;
+    /** Null where this server takes part in no fleet. */
+    private final Fleet fleet;
     /** Repeats of what a former process has left, read before the processor was there. */
     private final List<Try> early = new ArrayList<>();
     private Host host;
@@ -123,6 +129,17 @@
         } else {
             recall = null;
         }
+        fleet = operator.fleet().isEmpty() ? null : fleet(operator.fleet().get());
+    }
+
+    private Fleet fleet(FleetSettings told) throws IOException {
+        String build = Node.class.getPackage().getImplementationVersion();
+        InetSocketAddress at = operator.uwsgi().map(Operator.Uwsgi::listen).orElse(configuration.listen());
+        return new Fleet(loop, network, told, configuration.name(), build == null ? "unpackaged" : build,
+            new Address(at.getAddress().getHostAddress(), at.getPort()), new SplittableRandom(configuration.seed() + 2), metrics,
+            (member, there) -> {
+                if (workers != null && member.serves() != null) workers.seen(member.serves().toString(), there);
+            }, () -> new Thread(() -> System.exit(0), "leave").start()); // the hook that a signal would run drains
     }
 
     /** Holds the operators' routes against the operations; a route that cannot be is told, one that is odd is logged. */
@@ -176,6 +193,7 @@
         network.listen("gateway", configuration.listen(), gateway::accepted);
         if (uwsgi != null) network.listen("uwsgi", operator.uwsgi().orElseThrow().listen(), uwsgi::accepted);
         link.connect();
+        if (fleet != null) fleet.start();
         loop.post(roster::start);
     }
 
@@ -187,6 +205,7 @@
         try {
             next = Configuration.read(file);
             plans = workers == null ? List.of() : plans(operatorNow.get(), next);
+            if (fleet != null) fleet.reload();
         } catch (MalformedException e) {
             LOG.warning("stays with its configuration: " + e.getMessage());
             return;
@@ -273,6 +292,7 @@
         LOG.info("leaves");
         Duration last = configuration.stop().minus(ENDING);
         roster.leave();
+        if (fleet != null) fleet.leave();
         health.set(false, true);
         if (host != null) host.leave(last);
         // Gateways learn seconds late that it leaves. What it turns away behind the grace goes on to other servers at once,
@@ -296,6 +316,7 @@
         records.close();
         if (workers != null) workers.close();
         if (recall != null) recall.close();
+        if (fleet != null) fleet.close();
         network.flush();
         loop.after(LOOK, () -> {
             LOG.info("ends");
--- a/src/main/java/ochretiller/operator/Operator.java
+++ b/src/main/java/ochretiller/operator/Operator.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import ochretiller.fleet.peers.FleetSettings;
 import ochretiller.pools.PoolSettings;
 
 /**
@@ -15,11 +16,13 @@
  * @param remember how keyed results outlive a restart, if they do
  * @param uwsgi    where front ends of uwsgi connect, if any do
  * @param pools    workers that carry out operations in the processor's place
+ * @param fleet    the fleet that the server takes part in, if any
  */
 public record Operator(boolean jsonLog, Optional<Figures> metrics, Optional<Remember> remember, Optional<Uwsgi> uwsgi,
-                       List<Workers> pools) {
+                       List<Workers> pools, Optional<FleetSettings> fleet) {
     /** Nothing is switched on. */
-    public static final Operator NONE = new Operator(false, Optional.empty(), Optional.empty(), Optional.empty(), List.of());
+    public static final Operator NONE = new Operator(false, Optional.empty(), Optional.empty(), Optional.empty(), List.of(),
+        Optional.empty());
 
     /**
      * A front that speaks uwsgi.
--- a/src/main/java/ochretiller/operator/OperatorFile.java
+++ b/src/main/java/ochretiller/operator/OperatorFile.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import ochretiller.fleet.members.Address;
+import ochretiller.fleet.members.Pace;
+import ochretiller.fleet.peers.FleetSettings;
 import ochretiller.json5.Json5;
 import ochretiller.pools.PoolSettings;
 import ochretiller.settings.MalformedException;
@@ -35,7 +38,8 @@
             metrics.isMissingNode() ? Optional.empty()
                 : Optional.of(new Operator.Figures(Path.of(metrics.get("file").asText()), millis(metrics, "every_ms", 5_000))),
             remember.isMissingNode() ? Optional.empty() : Optional.of(remember(remember)),
-            root.has("uwsgi") ? Optional.of(uwsgi(root.get("uwsgi"))) : Optional.empty(), pools(root.path("pools")));
+            root.has("uwsgi") ? Optional.of(uwsgi(root.get("uwsgi"))) : Optional.empty(), pools(root.path("pools")),
+            root.has("fleet") ? Optional.of(fleet(root.get("fleet"))) : Optional.empty());
     }
 
     private static List<Operator.Workers> pools(JsonNode pools) {
@@ -74,6 +78,20 @@
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
+    private static FleetSettings fleet(JsonNode node) {
+        List<Address> seeds = new ArrayList<>();
+        node.path("seeds").forEach(each -> seeds.add(Address.of(each.asText())));
+        Pace usual = Pace.USUAL;
+        return new FleetSettings(node.get("name").asText(), address(node.get("listen").asText()), fleetAddress(node, "advertise"),
+            fleetAddress(node, "serves"), Path.of(node.get("key_file").asText()), List.copyOf(seeds), node.path("zone").asText(""),
+            new Pace(millis(node, "probe_ms", usual.probe().toMillis()), Duration.ofSeconds(node.path("forget_s").asLong(usual.forget().toSeconds())),
+                node.path("most_gone").asInt(usual.mostGone())));
+    }
+
+    private static Address fleetAddress(JsonNode node, String name) {
+        return node.has(name) ? Address.of(node.get(name).asText()) : null;
+    }
+
     private static Operator.Uwsgi uwsgi(JsonNode node) {
         List<Operator.Route> routes = new ArrayList<>();
         for (JsonNode route : node.get("routes")) {
--- a/src/main/java/ochretiller/pools/Pool.java
+++ b/src/main/java/ochretiller/pools/Pool.java
@@ -46,7 +46,10 @@
         if (known != null && known.state != Worker.State.DRAINED) return;
         if (known == null && workers.size() >= MOST) throw new IllegalStateException("over " + MOST + " workers in a pool");
         Worker worker = new Worker(id, fresh ? now : now.minus(settings.slowStart()), settings.leftOut());
-        if (known != null) worker.inFlight = known.inFlight; // what it still has is its own
+        if (known != null) {
+            worker.inFlight = known.inFlight; // what it still has is its own
+            worker.away = known.away;
+        }
         workers.put(id, worker);
     }
 
@@ -58,6 +61,12 @@
         if (worker.inFlight == 0) workers.remove(id);
     }
 
+    /** What a view of the fleet says of a worker: one that is not there gets requests only where no other can. */
+    public void seen(WorkerId id, boolean there) {
+        Worker worker = workers.get(id);
+        if (worker != null) worker.away = !there;
+    }
+
     /** Other settings hold from here on; what is in flight stays. */
     public void become(PoolSettings next) {
         settings = next;
@@ -92,6 +101,8 @@
     private Optional<WorkerId> pick(Duration now, WorkerId not) {
         List<Worker> open = new ArrayList<>();
         for (Worker worker : workers.values()) if (!worker.id.equals(not) && worker.takes(settings, now)) open.add(worker);
+        // Guards against a view that sees nobody because its own server is cut off: then the workers' answers alone count.
+        if (open.stream().anyMatch(worker -> !worker.away)) open.removeIf(worker -> worker.away);
         if (open.isEmpty()) return Optional.empty();
         // One that is being tried has to get its probes, or it would never come back beside faster ones.
         Worker chosen = open.stream().filter(worker -> worker.state == Worker.State.TRIED).findFirst().orElse(null);
--- a/src/main/java/ochretiller/pools/Worker.java
+++ b/src/main/java/ochretiller/pools/Worker.java
@@ -35,6 +35,8 @@
     final WorkerId id;
     State state = State.IN;
     int inFlight;
+    /** A view of the fleet does not see it. An opinion: it counts only while others are left. */
+    boolean away;
     private Duration inSince;
     private Duration outUntil = Duration.ZERO;
     private Duration outFor;
--- a/src/main/java/ochretiller/workers/Crew.java
+++ b/src/main/java/ochretiller/workers/Crew.java
@@ -66,6 +66,10 @@
         addresses.keySet().removeIf(id -> !ids.contains(id) && pool.inFlight(id) == 0);
     }
 
+    void seen(WorkerId id, boolean there) {
+        pool.seen(id, there);
+    }
+
     InetSocketAddress address(WorkerId id) {
         return addresses.get(id);
     }
--- a/src/main/java/ochretiller/workers/Workers.java
+++ b/src/main/java/ochretiller/workers/Workers.java
@@ -72,6 +72,11 @@
         }
     }
 
+    /** What a view of the fleet says of whoever serves at this address. */
+    public void seen(String address, boolean there) {
+        crews.values().forEach(crew -> crew.seen(new WorkerId(address), there));
+    }
+
     /** The pool that carries out an operation, or null. */
     public String pool(String operation) {
         Crew crew = byOperation.get(operation);
