Drill fleets: packaged servers with faults between them, one history, a checker

Need: what the decisions promise has to hold for processes on sockets, under the same scripts as in the emulator.

drill starts the servers with stand-ins of their own behind relays, which do to each packet what the script says; watches each view, asks reads and keyed orders meanwhile, and checks the history: views settled and right, verdicts on members that were alive, changes of verdict, one answer each, runs of a token.

--- /dev/null
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -0,0 +1,179 @@
+package ochretiller.drill;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.BindException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import ochretiller.emulator.fleet.Plan;
+import ochretiller.standin.Daemon;
+import ochretiller.standin.Gateways;
+import ochretiller.standin.StandIns;
+
+/** One slot: a packaged server with stand-ins of its own, started as often as the script says. */
+final class Box {
+    private static final Pattern PART = Pattern.compile("(\\S+)/([0-9a-f]+) takes part in fleet");
+    /** Two dozen servers fit the machine beside what they are drilled with. */
+    private static final int MEMORY_MB = 64;
+    private static final int STARTS_S = 40;
+    private static final int FIRST_PORT = 15_000;
+    private static final int PORTS = 15_000;
+    private static final AtomicInteger NEXT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
+
+    final Plan.Slot slot;
+    final int serves;
+    private final Path folder;
+    private final StandIns outside;
+    private volatile History history;
+    private Process process;
+    private CountDownLatch part = new CountDownLatch(1);
+    volatile String start;
+    volatile boolean up;
+    volatile boolean paused;
+    volatile boolean leaves;
+
+    Box(Plan.Slot slot, Path folder, History history, StandIns.Runs runs) throws IOException {
+        this.slot = slot;
+        this.folder = Files.createDirectories(folder.resolve("server-" + slot.number()));
+        this.history = history;
+        this.serves = freePort();
+        outside = new StandIns("127.0.0.1", new int[3], line -> { }, report -> { });
+        outside.runs = (rid, operation, body) -> {
+            runs.begun(rid, operation, body);
+            outside.complete(rid, "done " + body);
+        };
+    }
+
+    /** What happens from here on is noted there. */
+    void become(History next) {
+        history = next;
+    }
+
+    /**
+     * A port that is free for streams and datagrams, below those that the system hands out by itself: one of those could be
+     * somebody's end of a connection by the time a server listens.
+     */
+    static int freePort() throws IOException {
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = FIRST_PORT + Math.floorMod(NEXT.getAndIncrement(), PORTS);
+            try (ServerSocket stream = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+                 DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+                if (stream.isBound() && datagrams.isBound()) return port;
+            } catch (BindException e) {
+                // the next one
+            }
+        }
+        throw new IOException("no free port");
+    }
+
+    /**
+     * Starts the program on this address; returns at once.
+     *
+     * @param seeds where it is told that others are
+     * @param on    whether it takes part in a fleet at all
+     */
+    void start(int listen, int advertise, List<Integer> seeds, int probeMs, boolean on) throws IOException {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Gateways.config(serves, outside.processorPort(), outside.recordsPort(), outside.rosterPort())
+            .replace("\"name\":\"n1\"", "\"name\":\"" + slot.name() + "\"").replace("\"memory_mb\":192", "\"memory_mb\":" + MEMORY_MB));
+        Path key = folder.resolve("key");
+        Files.writeString(key, "a key that only drills have\n");
+        Path operator = folder.resolve("operator.json5");
+        List<String> told = new ArrayList<>();
+        for (int port : seeds) told.add("'127.0.0.1:" + port + "'");
+        Files.writeString(operator, "{ metrics: { file: '" + folder.resolve("metrics.prom") + "', every_ms: 1000 }," + (on ? """
+            fleet: { name: 'drill', listen: '127.0.0.1:%d', advertise: '127.0.0.1:%d', key_file: '%s', seeds: [%s], zone: 'z%d', probe_ms: %d }
+            """.formatted(listen, advertise, key, String.join(",", told), slot.zone(), probeMs) : "") + "}");
+        ProcessBuilder builder = new ProcessBuilder("sh", "deploy/serve.sh").redirectErrorStream(true);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        builder.environment().put("OPERATOR_FILE", operator.toString());
+        part = new CountDownLatch(1);
+        Process started = process = builder.start();
+        CountDownLatch mine = part;
+        leaves = false;
+        paused = false;
+        Daemon.start(() -> {
+            try (BufferedReader lines = new BufferedReader(new InputStreamReader(started.getInputStream()));
+                 BufferedWriter log = Files.newBufferedWriter(folder.resolve("log-" + started.pid()))) {
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    log.append(line).append('\n');
+                    log.flush();
+                    Matcher begins = PART.matcher(line);
+                    boolean serving = !on && line.contains(" listens on ");
+                    if (!begins.find() && !serving) continue;
+                    start = serving ? Long.toHexString(started.pid()) : begins.group(2);
+                    up = true;
+                    history.add(History.What.STARTED, slot.number(), start, slot.name());
+                    mine.countDown();
+                }
+            }
+        });
+    }
+
+    /** Whether it has come to take part, within a bounded time. */
+    boolean awaitPart() throws InterruptedException {
+        return part.await(STARTS_S, TimeUnit.SECONDS);
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
+    }
+
+    void kill() throws InterruptedException {
+        if (process == null || !process.isAlive()) return;
+        up = false;
+        history.add(History.What.KILLED, slot.number(), start, "");
+        process.destroyForcibly().waitFor();
+        paused = false;
+    }
+
+    void pause() throws IOException, InterruptedException {
+        if (process == null || !process.isAlive()) return;
+        paused = true;
+        history.add(History.What.PAUSED, slot.number(), start, "");
+        signal("STOP");
+    }
+
+    void resume() throws IOException, InterruptedException {
+        if (process == null || !process.isAlive()) return;
+        signal("CONT");
+        history.add(History.What.RESUMED, slot.number(), start, "");
+        paused = false;
+    }
+
+    void leave() {
+        if (process == null || !process.isAlive()) return;
+        leaves = true;
+        history.add(History.What.LEAVES, slot.number(), start, "");
+        Process leaving = process;
+        leaving.toHandle().destroy();
+        leaving.onExit().thenRun(() -> {
+            if (leaving != process) return;
+            up = false;
+            history.add(History.What.ENDED, slot.number(), start, "");
+        });
+    }
+
+    /** Waits until a process that was told to leave has ended. */
+    void awaitEnd() throws InterruptedException {
+        if (process != null && process.isAlive() && leaves) process.waitFor(10, TimeUnit.SECONDS);
+    }
+
+    void close() throws IOException {
+        up = false;
+        if (process != null) process.destroyForcibly();
+        outside.close();
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -0,0 +1,87 @@
+package ochretiller.drill;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import ochretiller.emulator.fleet.FleetScript;
+import ochretiller.emulator.fleet.FleetScriptFile;
+import ochretiller.settings.MalformedException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The drills' command line. Exit codes: 0 good, 1 a rule was broken, 2 wrong words or script, 4 the run counts for nothing. */
+@Command(name = "drill", mixinStandardHelpOptions = true, description = "Start several packaged servers, put faults on them and between them, check what came of it.")
+public final class Drill implements Runnable {
+    private static final int BROKEN = 1;
+    private static final int WRONG = 2;
+    private static final int VOID = 4;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a sub-command is needed");
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a script on processes; from the repository's root, the package built.")
+    int run(@Parameters(description = "The script, in JSON5; those of the emulator's fleets.") Path file,
+            @Option(names = "--seed", defaultValue = "1") long seed,
+            @Option(names = "--members", description = "As many members as this, instead of the script's.") Integer members,
+            @Option(names = "--out", description = "A folder for history, picture, logs and table.") Path out,
+            @Option(names = "--no-view", description = "The same without a fleet: what callers get then.") boolean without,
+            @Option(names = {"-q", "--quiet"}, description = "No progress on standard error.") boolean quiet) throws Exception {
+        FleetScript read = FleetScriptFile.read(file);
+        FleetScript script = members == null ? read : read.sized(members);
+        Path folder = out != null ? out : Files.createTempDirectory("drill");
+        Checker checker = play(script, seed, folder, !without, quiet);
+        return tell(script, seed, checker, without);
+    }
+
+    static Checker play(FleetScript script, long seed, Path folder, boolean viewOn, boolean quiet) throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        try (Stage stage = new Stage(script, seed, folder, viewOn, line -> {
+            if (!quiet) System.err.println(line);
+        })) {
+            History history = stage.play();
+            history.write(folder.resolve("history.jsonl"));
+            Picture.write(folder.resolve("views.svg"), script.name(), history.all());
+            return new Checker(script, history.all());
+        }
+    }
+
+    private static int tell(FleetScript script, long seed, Checker checker, boolean without) {
+        System.out.printf(Locale.ROOT, "%s, seed %d%s: settled %.1f s, false verdicts %d, changes of one at most %d, known p50 %.0f p99 %.0f ms, asked %d, "
+            + "value %.4f, lost with their connection %d%n", script.name(), seed, without ? ", without a view" : "", checker.settledS(), checker.falseVerdicts(),
+            checker.changesEach(), checker.knownMs(50), checker.knownMs(99), checker.asked(), checker.valueShare(), checker.lost());
+        if (checker.voided()) {
+            System.out.println("void: the script could not be carried out; this run counts for nothing");
+            return VOID;
+        }
+        List<String> broken = checker.broken();
+        broken.stream().limit(20).forEach(line -> System.out.println("broken: " + line));
+        if (!broken.isEmpty()) System.out.println("play it again with --seed " + seed);
+        return broken.isEmpty() ? 0 : BROKEN;
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, description = "Check a history that was kept.")
+    int check(@Parameters(description = "The script that was played.") Path script, @Parameters(description = "The history.") Path history,
+              @Option(names = "--members") Integer members) throws IOException {
+        FleetScript read = FleetScriptFile.read(script);
+        return tell(members == null ? read : read.sized(members), 0, new Checker(members == null ? read : read.sized(members), History.read(history)), false);
+    }
+
+    public static void main(String[] words) {
+        CommandLine line = new CommandLine(new Drill());
+        line.setExecutionExceptionHandler((fault, command, parsed) -> {
+            if (!(fault instanceof MalformedException)) throw fault;
+            System.err.println("drill: " + fault.getMessage());
+            return WRONG;
+        });
+        System.exit(line.execute(words));
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/ochretiller/drill/Load.java
@@ -0,0 +1,142 @@
+package ochretiller.drill;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import ochretiller.standin.Daemon;
+import ochretiller.standin.Gateways;
+import ochretiller.standin.Wire;
+
+/** Callers of all servers together: reads and orders, some of the orders asked again, each end noted once. */
+final class Load {
+    /** Every so many is a keyed order; every other order is asked twice. */
+    private static final int ORDERS = 4;
+    /** Requests open on one connection, fewer than a server lets be. */
+    private static final int OPEN = 24;
+
+    private final History history;
+    private final List<Box> boxes;
+    private final double perSecond;
+    private final SplittableRandom chance;
+    private final AtomicLong numbers = new AtomicLong();
+    private final Map<Integer, Line> lines = new ConcurrentHashMap<>();
+    private volatile boolean over;
+
+    Load(History history, List<Box> boxes, double perSecond, long seed) {
+        this.history = history;
+        this.boxes = boxes;
+        this.perSecond = perSecond;
+        this.chance = new SplittableRandom(seed);
+    }
+
+    void start() {
+        if (perSecond <= 0) return;
+        Daemon.start(() -> {
+            long next = System.nanoTime();
+            while (!over) {
+                next += (long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9);
+                long wait = next - System.nanoTime();
+                if (wait > 0) Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
+                ask();
+            }
+        });
+    }
+
+    private void ask() {
+        List<Box> open = new ArrayList<>();
+        for (Box box : boxes) if (box.up && !box.paused && !box.leaves) open.add(box);
+        if (open.isEmpty()) return;
+        Box box = open.get(chance.nextInt(open.size()));
+        long number = numbers.incrementAndGet();
+        try {
+            Line line = lines.get(box.slot.number());
+            if (line == null || line.gone || line.open.size() >= OPEN) {
+                if (line != null && !line.gone) line.retired = true;
+                line = new Line(box.serves);
+                lines.put(box.slot.number(), line);
+            }
+            boolean order = number % ORDERS == 0;
+            String token = order ? String.format("%032x", number) : null;
+            line.send(box.slot.number(), number, token);
+            if (order && number % (2 * ORDERS) == 0) line.send(box.slot.number(), numbers.addAndGet(2L * ORDERS) - 2 * ORDERS + 1, token);
+        } catch (IOException e) {
+            // nobody listens there any more: no request was sent
+        }
+    }
+
+    /** No more is asked; what is open gets its end. */
+    void end() throws InterruptedException {
+        over = true;
+        for (int i = 0; i < 500 && lines.values().stream().anyMatch(line -> !line.gone && !line.open.isEmpty()); i++) Thread.sleep(10);
+        for (Line line : lines.values()) line.close();
+    }
+
+    /** One connection and what is open on it. */
+    private final class Line {
+        private final Wire wire;
+        private final Map<Long, Integer> open = new ConcurrentHashMap<>();
+        private volatile boolean gone;
+        private volatile boolean retired;
+        private volatile boolean closed;
+
+        Line(int port) throws IOException {
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            wire = new Wire(socket);
+            Daemon.start(this::read);
+        }
+
+        void send(int slot, long number, String token) throws IOException {
+            String id = "r" + number;
+            String body = token == null ? id : "order " + token;
+            open.put(number, slot);
+            history.add(History.What.ASKED, slot, id, body);
+            try {
+                wire.send(Gateways.message(number, token == null ? "read" : "order", Gateways.params(String.format("%016x", number), token, body)));
+            } catch (IOException e) {
+                end(number, "broken");
+            }
+        }
+
+        private void end(long number, String how) {
+            Integer slot = open.remove(number);
+            if (slot != null) history.add(History.What.ANSWERED, slot, "r" + number, how);
+        }
+
+        private void read() {
+            try {
+                for (String line = wire.line(); line != null; line = wire.line()) {
+                    int at = line.indexOf("\"id\":");
+                    if (at < 0) continue;
+                    long number = Long.parseLong(line.substring(at + 5, line.indexOf(',', at)));
+                    end(number, line.contains("\"result\"") ? "succeeded" : line.contains("-32014") ? "throttled" : "errored");
+                    if (retired && open.isEmpty()) break;
+                }
+            } catch (IOException e) {
+                // the server was killed, or said nothing for long
+            }
+            gone = true;
+            // What is left when the callers end had its time and no answer; a connection that breaks ends what was on it.
+            for (long number : List.copyOf(open.keySet())) end(number, closed ? "none" : "broken");
+            try {
+                wire.close();
+            } catch (IOException e) {
+                // it is gone anyway
+            }
+        }
+
+        void close() {
+            closed = true;
+            try {
+                wire.close();
+            } catch (IOException e) {
+                // it is gone anyway
+            }
+        }
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -0,0 +1,283 @@
+package ochretiller.drill;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import ochretiller.emulator.core.Seeds;
+import ochretiller.emulator.fleet.Faults;
+import ochretiller.emulator.fleet.FleetScript;
+import ochretiller.emulator.fleet.Plan;
+import ochretiller.standin.Daemon;
+
+/** Plays a script on processes: starts them, puts the faults on, watches, and ends with all faults healed. */
+final class Stage implements AutoCloseable {
+    /** A fault that comes later than this behind its time makes the run void. */
+    private static final double LATE_S = 1.5;
+    /** Views that stay equal and right for so long have settled. */
+    private static final double STAYS_S = 2.5;
+    /** Burners for each step of a crowd's strength, and that step in milliseconds of lateness. */
+    private static final double CROWD_STEP = 50;
+    private static final int WATCH_MS = 100;
+
+    private final FleetScript script;
+    private final Plan plan;
+    private final Path folder;
+    private final boolean viewOn;
+    private final Consumer<String> progress;
+    private final Map<Integer, Box> boxes = new TreeMap<>();
+    private final Map<Integer, Integer> real = new HashMap<>();
+    private final Map<Integer, Integer> relayed = new HashMap<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final List<Process> burners = new ArrayList<>();
+    private final Links links;
+    private final SplittableRandom chance;
+    private final long seed;
+    private History history;
+    private volatile boolean over;
+
+    /**
+     * A stage with nobody on it yet.
+     *
+     * @param viewOn whether the servers take part in a fleet; without it the same is played for what callers get
+     */
+    Stage(FleetScript script, long seed, Path folder, boolean viewOn, Consumer<String> progress) throws IOException {
+        this.script = script;
+        this.seed = seed;
+        this.plan = Plan.of(script);
+        this.folder = folder;
+        this.viewOn = viewOn;
+        this.progress = progress;
+        Seeds seeds = new Seeds(seed);
+        this.chance = seeds.of("floods");
+        this.history = new History(System.nanoTime());
+        this.links = new Links(new Faults(plan, seeds.of("faults")), () -> history.now());
+    }
+
+    /** Plays it; the history of all that happened. */
+    History play() throws IOException, InterruptedException {
+        // Script time begins when the members of the script are there; before it they start as they can.
+        history = new History(System.nanoTime() + 3_600_000_000_000L);
+        for (Plan.Slot slot : plan.slots()) box(slot);
+        links.start();
+        for (Plan.Action action : plan.actions()) if (first(action)) start(action);
+        for (Plan.Action action : plan.actions()) {
+            if (first(action) && !boxes.get(action.slot()).awaitPart()) throw new IOException("server " + action.slot() + " did not start");
+        }
+        History begun = new History(System.nanoTime() - (long) (script.startS() * 1e9));
+        for (History.Event event : history.all()) begun.put(new History.Event(script.startS(), event.what(), event.slot(), event.id(), event.text(), null));
+        become(begun);
+        progress.accept(script.members() + " servers are there");
+        Load load = new Load(history, List.copyOf(boxes.values()), script.load().perSecond(), seed);
+        load.start();
+        for (Plan.Fault fault : plan.faults()) put(fault);
+        for (Plan.Action action : plan.actions()) {
+            if (first(action)) continue;
+            until(action.atS());
+            double late = history.now() - action.atS();
+            if (late > LATE_S) history.add(History.What.VOID, action.slot(), "", String.format(Locale.ROOT, "%s came %.1f s late", action.act(), late));
+            progress.accept(String.format(Locale.ROOT, "%.1f s: %s %d", history.now(), action.act(), action.slot()));
+            act(action);
+        }
+        until(plan.lastS());
+        for (Plan.Action action : plan.actions()) {
+            Box box = boxes.get(action.slot());
+            if (action.act() == Plan.Act.START && !first(action) && !box.awaitPart()) {
+                history.add(History.What.VOID, action.slot(), "", "it did not start");
+            }
+        }
+        double last = history.now();
+        progress.accept(String.format(Locale.ROOT, "%.1f s: all faults are over", last));
+        double bound = Math.max(script.seconds(), last + Math.max(script.expect().settledS(), 5) + STAYS_S);
+        settle(bound, last);
+        load.end();
+        history.add(History.What.OVER, 0, "", "");
+        return history;
+    }
+
+    /** From here on all that is noted has its time from the script's beginning. */
+    private void become(History begun) {
+        history = begun;
+        Map<Integer, Box> there = new TreeMap<>(boxes);
+        there.forEach((number, box) -> box.become(begun));
+        for (Box box : boxes.values()) if (viewOn) watch(box);
+    }
+
+    private boolean first(Plan.Action action) {
+        return action.act() == Plan.Act.START && action.slot() <= script.members() && action.atS() <= script.startS() && !repeated(action);
+    }
+
+    private boolean repeated(Plan.Action action) {
+        for (Plan.Action each : plan.actions()) {
+            if (each == action) return false;
+            if (each.slot() == action.slot() && each.act() == Plan.Act.START) return true;
+        }
+        return false;
+    }
+
+    private void box(Plan.Slot slot) throws IOException {
+        boxes.put(slot.number(), new Box(slot, folder, history, (rid, operation, body) -> ran(slot.number(), body)));
+    }
+
+    private void ran(int slot, String body) {
+        history.add(History.What.RAN, slot, body, "");
+    }
+
+    private int real(int address) throws IOException {
+        Integer port = real.get(address);
+        if (port != null) return port;
+        int fresh = Box.freePort();
+        real.put(address, fresh);
+        relayed.put(address, links.open(address, fresh));
+        return fresh;
+    }
+
+    private final Map<Integer, Integer> addressOf = new HashMap<>();
+
+    private void start(Plan.Action action) throws IOException, InterruptedException {
+        Box box = boxes.get(action.slot());
+        box.awaitEnd();
+        int listen = real(action.address());
+        links.at(action.address(), action.slot());
+        addressOf.put(action.slot(), action.address());
+        List<Integer> seeds = new ArrayList<>();
+        for (int i = 1; i <= script.seeds(); i++) {
+            real(i);
+            seeds.add(relayed.get(i));
+        }
+        box.start(listen, relayed.get(action.address()), seeds, script.probeMs(), viewOn);
+    }
+
+    private void watch(Box box) {
+        Integer address = addressOf.get(box.slot.number());
+        if (address == null) return;
+        watches.add(new Watch(box, real.get(address), history, WATCH_MS));
+    }
+
+    private void act(Plan.Action action) throws IOException, InterruptedException {
+        Box box = boxes.get(action.slot());
+        switch (action.act()) {
+            case START -> {
+                Integer before = addressOf.get(action.slot());
+                start(action);
+                if (viewOn && (before == null || before != action.address())) watch(box);
+            }
+            case KILL -> box.kill();
+            case PAUSE -> box.pause();
+            case RESUME -> box.resume();
+            case LEAVE -> box.leave();
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    /** Faults that are not the links' own: crowds on the cores, floods at a port. */
+    private void put(Plan.Fault fault) {
+        if (fault.what() == Plan.Link.CROWD) {
+            Daemon.start(() -> {
+                until(fault.atS());
+                int count = (int) Math.ceil(fault.strength() / CROWD_STEP) * Runtime.getRuntime().availableProcessors();
+                List<Process> mine = new ArrayList<>();
+                for (int i = 0; i < count; i++) mine.add(new ProcessBuilder("sh", "-c", "while :; do :; done").start());
+                synchronized (burners) {
+                    burners.addAll(mine);
+                }
+                until(fault.untilS());
+                mine.forEach(Process::destroyForcibly);
+            });
+        } else if (fault.what() == Plan.Link.FLOOD) {
+            for (int slot : fault.to()) {
+                Daemon.start(() -> flood(fault, slot));
+            }
+        }
+    }
+
+    /** Garbage, packets with a byte spoilt, and packets that went by before, as fast as told. */
+    private void flood(Plan.Fault fault, int slot) throws IOException, InterruptedException {
+        until(fault.atS());
+        SplittableRandom mine;
+        synchronized (chance) {
+            mine = chance.split();
+        }
+        try (DatagramSocket socket = new DatagramSocket()) {
+            int port = real.get(addressOf.get(slot));
+            long sent = 0;
+            long began = System.nanoTime();
+            while (!over && history.now() < fault.untilS()) {
+                List<byte[]> heard = links.heard();
+                for (int i = 0; i < 20; i++) {
+                    byte[] bytes = new byte[1 + mine.nextInt(1400)];
+                    mine.nextBytes(bytes);
+                    if (!heard.isEmpty() && i % 3 != 0) {
+                        bytes = heard.get(mine.nextInt(heard.size())).clone();
+                        if (i % 3 == 1) bytes[mine.nextInt(bytes.length)] ^= 0x11;
+                    }
+                    socket.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(), port));
+                    sent++;
+                }
+                long ahead = (long) (sent / Math.max(1, fault.strength()) * 1e9) - (System.nanoTime() - began);
+                if (ahead > 0) Thread.sleep(ahead / 1_000_000, (int) (ahead % 1_000_000));
+            }
+        }
+    }
+
+    private void until(double at) throws InterruptedException {
+        for (double left = at - history.now(); left > 0; left = at - history.now()) Thread.sleep((long) Math.ceil(Math.min(left, 1) * 1000));
+    }
+
+    /** Until all views have been equal and right for some time, or the bound has come. */
+    private void settle(double bound, double last) throws InterruptedException {
+        double since = Double.NaN;
+        while (history.now() < bound) {
+            boolean right = !viewOn || right();
+            if (!right) since = Double.NaN;
+            else if (Double.isNaN(since)) since = history.now();
+            if (right && history.now() - since > STAYS_S && history.now() >= script.seconds()) return;
+            if (right && history.now() - since > STAYS_S && script.expect().settledS() > 0 && history.now() > last + STAYS_S) return;
+            Thread.sleep(WATCH_MS);
+        }
+    }
+
+    private boolean right() {
+        Set<String> there = new TreeSet<>();
+        for (Box box : boxes.values()) if (box.up && !box.leaves) there.add(box.start);
+        String digest = null;
+        Set<String> looked = new TreeSet<>();
+        for (Watch watch : watches) {
+            if (watch.start == null || !there.contains(watch.start)) continue;
+            looked.add(watch.start);
+            Set<String> live = new TreeSet<>();
+            watch.states.forEach((start, state) -> {
+                if (state.equals("HERE")) live.add(start);
+            });
+            if (!live.equals(there) || digest != null && !digest.equals(watch.digest)) return false;
+            digest = watch.digest;
+        }
+        return looked.equals(there);
+    }
+
+    long passed() {
+        return links.passed.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        over = true;
+        for (Watch watch : watches) watch.end();
+        synchronized (burners) {
+            burners.forEach(Process::destroyForcibly);
+        }
+        for (Box box : boxes.values()) box.close();
+        links.close();
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/ochretiller/drill/Watch.java
@@ -0,0 +1,78 @@
+package ochretiller.drill;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import ochretiller.fleet.peers.FleetClient;
+import ochretiller.fleet.peers.FleetKeys;
+
+/** Asks one server again and again how it sees the fleet, and notes what has changed. */
+final class Watch {
+    /** Asks on one connection, fewer than the server answers there. */
+    private static final int ASKS = 90;
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final FleetKeys KEYS = FleetKeys.of("a key that only drills have");
+
+    private final Box box;
+    private final int port;
+    private final History history;
+    private final int everyMs;
+    private volatile boolean over;
+    volatile Map<String, String> states = Map.of();
+    volatile String digest = "";
+    volatile String start;
+
+    Watch(Box box, int port, History history, int everyMs) {
+        this.box = box;
+        this.port = port;
+        this.history = history;
+        this.everyMs = everyMs;
+        Thread thread = new Thread(this::work, "watch-" + box.slot.number());
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    void end() {
+        over = true;
+    }
+
+    private void work() {
+        try {
+            while (!over) {
+                if (!box.up || box.paused) {
+                    Thread.sleep(everyMs);
+                    continue;
+                }
+                try (FleetClient client = new FleetClient(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), "drill", KEYS)) {
+                    for (int i = 0; i < ASKS && !over && box.up && !box.paused; i++) {
+                        look(JSON.readTree(client.ask("view")));
+                        Thread.sleep(everyMs);
+                    }
+                } catch (IOException e) {
+                    Thread.sleep(everyMs); // it was killed or paused in the midst of it
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void look(JsonNode view) {
+        Map<String, String> next = new TreeMap<>();
+        String self = null;
+        for (JsonNode each : view.get("members")) {
+            next.put(each.get("start").asText(), each.get("state").asText());
+            if (each.get("self").asBoolean()) self = each.get("start").asText();
+        }
+        String nextDigest = view.get("digest").asText();
+        if (next.equals(states) && nextDigest.equals(digest) && self.equals(start)) return;
+        states = next;
+        digest = nextDigest;
+        start = self;
+        history.view(box.slot.number(), self, nextDigest, next);
+    }
+}
