Explore all orders of events round the decisions on members; test fleet and drills

Need: schedules drawn by chance show what is likely; what is unlikely has to be shown too, and a checker that cannot fail shows nothing.

Explore goes through all orders of delivery, loss, passing time and crash depth by depth, folds equal states, and lets each state heal. The checker finds each planted fault. A drill may set a server's Unix clock back; elsewhere that is refused.

--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -28,6 +28,8 @@
     /** Two dozen servers fit the machine beside what they are drilled with. */
     private static final int MEMORY_MB = 64;
     private static final int STARTS_S = 40;
+    /** The repository, whose package is drilled. */
+    private static final Path ROOT = Path.of(System.getProperty("drill.root", ".")).toAbsolutePath();
     private static final int FIRST_PORT = 15_000;
     private static final int PORTS = 15_000;
     private static final AtomicInteger NEXT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
@@ -82,9 +84,10 @@
      * Starts the program on this address; returns at once.
      *
      * @param seeds where it is told that others are
-     * @param on    whether it takes part in a fleet at all
+     * @param on     whether it takes part in a fleet at all
+     * @param clockS seconds that its clock is set back
      */
-    void start(int listen, int advertise, List<Integer> seeds, int probeMs, boolean on) throws IOException {
+    void start(int listen, int advertise, List<Integer> seeds, int probeMs, boolean on, double clockS) throws IOException {
         Path config = folder.resolve("config.json");
         Files.writeString(config, Gateways.config(serves, outside.processorPort(), outside.recordsPort(), outside.rosterPort())
             .replace("\"name\":\"n1\"", "\"name\":\"" + slot.name() + "\"").replace("\"memory_mb\":192", "\"memory_mb\":" + MEMORY_MB));
@@ -95,8 +98,10 @@
         for (int port : seeds) told.add("'127.0.0.1:" + port + "'");
         Files.writeString(operator, "{ metrics: { file: '" + folder.resolve("metrics.prom") + "', every_ms: 1000 }," + (on ? """
             fleet: { name: 'drill', listen: '127.0.0.1:%d', advertise: '127.0.0.1:%d', key_file: '%s', seeds: [%s], zone: 'z%d', probe_ms: %d }
-            """.formatted(listen, advertise, key, String.join(",", told), slot.zone(), probeMs) : "") + "}");
+            """.formatted(listen, advertise, key, String.join(",", told), slot.zone(), probeMs) : "")
+            + (clockS == 0 ? "" : ", drill: { clock_ms: " + (long) (-clockS * 1000) + " }") + "}");
         ProcessBuilder builder = new ProcessBuilder("sh", "deploy/serve.sh").redirectErrorStream(true);
+        builder.directory(ROOT.toFile()).environment().put("OCHRETILLER_DRILL", "1");
         builder.environment().put("EDGE_CONFIG", config.toString());
         builder.environment().put("OPERATOR_FILE", operator.toString());
         part = new CountDownLatch(1);
--- a/drill/src/main/java/ochretiller/drill/Stage.java
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -156,7 +156,17 @@
             real(i);
             seeds.add(relayed.get(i));
         }
-        box.start(listen, relayed.get(action.address()), seeds, script.probeMs(), viewOn);
+        box.start(listen, relayed.get(action.address()), seeds, script.probeMs(), viewOn,
+            clock(action));
+    }
+
+    private double clock(Plan.Action action) {
+        double back = 0;
+        for (Plan.Fault fault : plan.faults()) {
+            boolean on = action.atS() >= fault.atS() && action.atS() <= fault.untilS();
+            if (fault.what() == Plan.Link.CLOCK && on && fault.to().contains(action.slot())) back += fault.strength();
+        }
+        return back;
     }
 
     private void watch(Box box) {
--- /dev/null
+++ b/drill/src/test/java/ochretiller/drill/DrillTest.java
@@ -0,0 +1,35 @@
+package ochretiller.drill;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import ochretiller.emulator.fleet.FleetScript;
+import ochretiller.emulator.fleet.FleetScriptFile;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Short drills of packaged servers, with fixed seeds; their ends are seen in the views, not waited for by the clock. */
+class DrillTest {
+    private static final Path SCRIPTS = Path.of(System.getProperty("drill.root"), "emulator", "scripts", "fleet");
+    /** A machine that is too busy to carry a script out is no verdict: it is played again. */
+    private static final int TRIES = 3;
+
+    @TempDir
+    private Path folder;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"kill-one", "cut-heals", "returns", "floods", "while-healing"})
+    void comesOutAsTheScriptExpects(String name) throws Exception {
+        FleetScript script = FleetScriptFile.read(SCRIPTS.resolve(name + ".json5"));
+        Checker checker = null;
+        for (int i = 0; i < TRIES && (checker == null || checker.voided()); i++) {
+            checker = Drill.play(script, 1, folder.resolve("try-" + i), true, true);
+        }
+        assertThat(checker.voided()).as("carried out").isFalse();
+        assertThat(checker.broken()).isEmpty();
+        assertThat(checker.asked()).as("callers asked meanwhile").isPositive();
+        assertThat(Files.size(folder.resolve("try-0").resolve("views.svg"))).isPositive();
+    }
+}
--- a/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
+++ b/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import ochretiller.emulator.fleet.Drawn;
+import ochretiller.emulator.fleet.Explore;
+import ochretiller.emulator.fleet.FleetMeasure;
 import ochretiller.emulator.fleet.FleetOutcome;
 import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.FleetScriptFile;
@@ -40,7 +42,7 @@
         List<Callable<FleetOutcome>> runs = new ArrayList<>();
         for (int i = 0; i < seeds; i++) {
             long each = seed + i;
-            runs.add(() -> new FleetWorld(script, each, true).play());
+            runs.add(() -> new FleetWorld(script, each, true, 0).play());
         }
         int missed = 0;
         int number = 0;
@@ -67,7 +69,7 @@
         List<Callable<FleetOutcome>> runs = new ArrayList<>();
         for (int i = 0; i < seeds; i++) {
             long each = seed + i;
-            runs.add(() -> new FleetWorld(Drawn.script(each, settled), each, false).play());
+            runs.add(() -> new FleetWorld(Drawn.script(each, settled), each).play());
         }
         List<Double> times = new ArrayList<>();
         int failed = 0;
@@ -91,6 +93,27 @@
         return failed == 0 ? 0 : MISSED;
     }
 
+    @Command(name = "measure", mixinStandardHelpOptions = true,
+        description = "Cost and speed by size, false verdicts beside heartbeats of all to all; tables and charts in a folder.")
+    int measure(@Option(names = "--out", required = true) Path out,
+                @Option(names = "--sizes", split = ",", defaultValue = "10,30,100,300,1000") List<Integer> sizes,
+                @Option(names = "--seeds", defaultValue = "5") int seeds, @Option(names = "--minutes", defaultValue = "10") double minutes) throws Exception {
+        new FleetMeasure(out, seeds).write(sizes, minutes * 60, System.err::println);
+        return 0;
+    }
+
+    @Command(name = "explore", mixinStandardHelpOptions = true,
+        description = "Explore all orders of delivery, loss, passing time and crash in a fleet of a few, depth by depth.")
+    int explore(@Option(names = "--members", defaultValue = "3") int members, @Option(names = "--depth", defaultValue = "20") int depth,
+                @Option(names = "--crashes", defaultValue = "1") int crashes,
+                @Option(names = "--states", defaultValue = "200000", description = "No further depth behind so many states.") long states,
+                @Option(names = "--planted", description = "With a planted fault, which has to be found.") boolean planted) throws Exception {
+        Explore.Found found = new Explore(members, crashes, planted).explore(depth, states, System.out::println);
+        System.out.printf(Locale.ROOT, "%d members, %d crashes: depth %d whole, %d states, %d steps, settles within %d looks at the clock%s%n", members,
+            crashes, found.depth(), found.states(), found.edges(), found.worstSettles(), found.broken() == null ? "; nothing broken" : "; BROKEN: " + found.broken());
+        return found.broken() == null ? 0 : MISSED;
+    }
+
     private static <T> List<Future<T>> all(List<Callable<T>> runs) throws InterruptedException {
         ExecutorService threads = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors(), work -> {
             Thread thread = new Thread(work, "fleet");
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetOutcome.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetOutcome.java
@@ -24,6 +24,8 @@
     /** Most packets that one server sent in a second. */
     public int mostPackets;
     public double mostBytes;
+    /** Time in the decisions, on the machine that plays it. */
+    public long decisionNanos;
     public int twins;
     public final List<String> notes = new ArrayList<>();
 
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetWorld.java
@@ -46,6 +46,7 @@
     private final SplittableRandom links;
     private final SplittableRandom starts;
     private final boolean measure;
+    private final double countS;
     private final Codec codec = new Codec("emulated", FleetKeys.of("a key of the emulator's own"));
     private final Map<Integer, Host> bySlot = new TreeMap<>();
     private final Map<Address, Host> byAddress = new HashMap<>();
@@ -82,7 +83,9 @@
 
         void tick() {
             if (!up || paused) return;
+            long began = measure ? System.nanoTime() : 0;
             members.tick(events.now());
+            spent(began);
             outcome.ticks++;
             carryOut();
             schedule();
@@ -99,10 +102,16 @@
                 if (waits.size() < ROOM) waits.add(packet);
                 return;
             }
+            long began = measure ? System.nanoTime() : 0;
             members.received(packet, events.now());
+            spent(began);
             carryOut();
         }
 
+        private void spent(long began) {
+            if (measure && events.seconds() >= countS) outcome.decisionNanos += System.nanoTime() - began;
+        }
+
         void carryOut() {
             for (Send send : members.sends()) deliver(this, send);
             for (Change change : members.changes()) changed(this, change);
@@ -113,12 +122,19 @@
         }
     }
 
+    /** A fleet whose cost is not counted. */
+    public FleetWorld(FleetScript script, long seed) {
+        this(script, seed, false, 0);
+    }
+
     /**
      * A fleet that has not begun.
      *
-     * @param measure whether each packet's bytes are counted, by sealing it
+     * @param measure whether each packet's bytes are counted, by sealing it, and time in the decisions too
+     * @param countS  from when on they are
      */
-    public FleetWorld(FleetScript script, long seed, boolean measure) {
+    public FleetWorld(FleetScript script, long seed, boolean measure, double countS) {
+        this.countS = countS;
         this.script = script;
         this.plan = Plan.of(script);
         this.seeds = new Seeds(seed);
@@ -136,6 +152,13 @@
         return new Address("10.0." + number / 250 + '.' + (1 + number % 250), 4200);
     }
 
+    /** Views of all servers that are up, with all that they hold: for what they take of the memory. */
+    public int views() {
+        int known = 0;
+        for (Host host : byStart.values()) if (host.up) known += host.members.view().size();
+        return known;
+    }
+
     /** Plays it to its end, or until all views have settled. */
     public FleetOutcome play() {
         for (Plan.Action action : plan.actions()) events.after(action.atS(), () -> act(action));
@@ -152,7 +175,7 @@
             outcome.refuted += host.members.counts().refuted;
             outcome.suspected += host.members.counts().suspected;
             outcome.twins += (int) host.members.counts().twins;
-            outcome.memberSeconds += (Double.isNaN(host.diedS) ? events.seconds() : host.diedS) - host.startedS;
+            outcome.memberSeconds += (Double.isNaN(host.diedS) ? events.seconds() : host.diedS) - Math.max(countS, host.startedS);
         }
         for (int times : judged.values()) outcome.changesEach = Math.max(outcome.changesEach, times);
         return outcome;
@@ -208,8 +231,7 @@
     }
 
     private void deliver(Host from, Send send) {
-        outcome.packets++;
-        if (measure) count(from, send);
+        if (measure && events.seconds() >= countS) count(from, send);
         Host at = byAddress.get(send.to());
         if (at == null) return;
         for (Faults.Copy copy : faults.fate(from.slot.number(), at.slot.number(), events.seconds())) {
@@ -224,7 +246,7 @@
     }
 
     private void count(Host from, Send send) {
-        int bytes = codec.seal(send.packet(), outcome.packets).length;
+        int bytes = codec.seal(send.packet(), ++outcome.packets).length;
         outcome.bytes += bytes;
         if (from.second != (int) events.seconds()) {
             from.second = (int) events.seconds();
--- /dev/null
+++ b/emulator/src/test/java/ochretiller/emulator/FleetTest.java
@@ -0,0 +1,86 @@
+package ochretiller.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import ochretiller.emulator.fleet.Drawn;
+import ochretiller.emulator.fleet.Explore;
+import ochretiller.emulator.fleet.FleetOutcome;
+import ochretiller.emulator.fleet.FleetScript;
+import ochretiller.emulator.fleet.FleetScriptFile;
+import ochretiller.emulator.fleet.FleetWorld;
+import ochretiller.settings.MalformedException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Fleets in virtual time: what the drills show on processes, on many more schedules. */
+class FleetTest {
+    /** The bound that the design note states. */
+    private static final double SETTLED_S = 15;
+
+    static List<Path> scripts() throws IOException {
+        try (Stream<Path> files = Files.list(Path.of("scripts/fleet"))) {
+            return files.sorted().toList();
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("scripts")
+    void eachScriptComesOutAsItExpects(Path file) {
+        FleetScript script = FleetScriptFile.read(file);
+        for (long seed = 1; seed <= 3; seed++) {
+            assertThat(new FleetWorld(script, seed).play().missed(script.expect())).as("seed " + seed).isEmpty();
+        }
+    }
+
+    @Test
+    void drawnSchedulesSettleWithinTheBound() {
+        for (long seed = 1; seed <= 120; seed++) {
+            FleetOutcome outcome = new FleetWorld(Drawn.script(seed, SETTLED_S), seed).play();
+            assertThat(outcome.settledS).as("seed " + seed + ": " + outcome.notes).isLessThanOrEqualTo(SETTLED_S);
+        }
+    }
+
+    @Test
+    void aSeedPlaysTheSameTwice() {
+        FleetScript script = Drawn.script(7, SETTLED_S);
+        FleetOutcome one = new FleetWorld(script, 7).play();
+        FleetOutcome other = new FleetWorld(script, 7).play();
+        assertThat(one.settledS).isEqualTo(other.settledS);
+        assertThat(one.ticks).isEqualTo(other.ticks);
+        assertThat(one.knownMs).isEqualTo(other.knownMs);
+    }
+
+    @Test
+    void aFaultThatNeverEndsIsSeenToLeaveViewsWrong() {
+        FleetScript script = FleetScriptFile.of("{ seconds: 40, members: 6, zones: 2, incidents: [ { at_s: 5, for_s: 5, what: 'cut', who: 'z1' } ] }", "cut");
+        assertThat(new FleetWorld(script, 1).play().settledS).isFinite();
+        FleetScript never = new FleetScript("never", 40, 6, 2, 2, 1, 150, 0.3, 0.3, script.load(),
+            List.of(new FleetScript.Incident(5, 100, "cut", "z1", "", "", 1)), new FleetScript.Expect(SETTLED_S, 0, 0, 0));
+        assertThat(new FleetWorld(never, 1).play().missed(never.expect())).anyMatch(line -> line.startsWith("settled"))
+            .anyMatch(line -> line.contains("changes of verdict"));
+    }
+
+    @Test
+    void allOrdersOfEventsAreExploredAndAPlantedFaultIsFound() throws Exception {
+        assertThat(new Explore(2, 1, false).explore(7, 10_000, line -> { }).broken()).isNull();
+        assertThat(new Explore(3, 1, false).explore(5, 10_000, line -> { }).broken()).isNull();
+        assertThat(new Explore(3, 1, true).explore(3, 10_000, line -> { }).broken()).contains("does not settle");
+    }
+
+    @Test
+    void aScriptThatCannotBePlayedIsToldSo() {
+        assertThatThrownBy(() -> FleetScriptFile.of("{ seconds: 5, members: 3, incidents: [ { at_s: 1, for_s: 9, what: 'cut', who: '1' } ] }", "s"))
+            .isInstanceOf(MalformedException.class).hasMessageContaining("behind its end");
+        assertThatThrownBy(() -> FleetScriptFile.of("{ seconds: 5, members: 3, incidents: [ { at_s: 1, what: 'kill', who: '7' } ] }", "s"))
+            .hasMessageContaining("no members '7'");
+        assertThatThrownBy(() -> FleetScriptFile.of("{ seconds: 5, members: 3, incidents: [ { at_s: 1, what: 'burn' } ] }", "s"))
+            .hasMessageContaining("what");
+    }
+}
--- a/src/main/java/ochretiller/fleet/members/Address.java
+++ b/src/main/java/ochretiller/fleet/members/Address.java
@@ -9,7 +9,9 @@
     public static Address of(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 1 || colon > LONGEST) throw new IllegalArgumentException("no address: '" + text + "'");
-        return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        int port = Integer.parseInt(text.substring(colon + 1));
+        if (port < 1 || port > 0xffff) throw new IllegalArgumentException("no port: '" + text + "'");
+        return new Address(text.substring(0, colon), port);
     }
 
     @Override
--- a/src/main/java/ochretiller/fleet/members/Members.java
+++ b/src/main/java/ochretiller/fleet/members/Members.java
@@ -174,6 +174,36 @@
         return all;
     }
 
+    /**
+     * All that decides what this server does next, as text: equal texts go on alike. Times are told from now on, so that states
+     * that differ only in how late it is are one; for explorers of all orders of events.
+     */
+    public String state() {
+        StringBuilder text = new StringBuilder(256);
+        text.append(self.start()).append(self.state()).append(self.number()).append(" d").append(doubt.level()).append(" t").append(turn)
+            .append(order).append(" n").append(left(nextTurn)).append(" c").append(left(compared)).append(" l").append(leaves);
+        if (differs != null) text.append(" f").append(age(differs));
+        if (self.state() == State.JOINING) text.append(" j").append(left(joinsBy));
+        for (Known known : table.all()) {
+            text.append('|').append(known.member.start()).append(known.member.state()).append(known.member.number());
+            if (known.member.state() == State.SUSPECT) text.append(known.accusers).append(age(known.since)).append(known.own).append(known.judged);
+            if (known.unsaid) text.append('u');
+        }
+        for (Probe probe : pending.values()) {
+            text.append('?').append(probe.kind).append(probe.target).append(age(probe.begun)).append(age(probe.said)).append(probe.times)
+                .append(probe.asked).append(heard == probe.heard).append(probe.nonce - self.start() * 31 - nonces);
+        }
+        return text.append('!').append(proofs.keySet()).append(rumours).toString();
+    }
+
+    private long age(Duration since) {
+        return awake.minus(since).toNanos();
+    }
+
+    private long left(Duration until) {
+        return Math.max(0, until.minus(awake).toNanos());
+    }
+
     // ---- time
 
     /** The clock has come to {@link #next}, or later. */
--- a/src/main/java/ochretiller/fleet/members/Pace.java
+++ b/src/main/java/ochretiller/fleet/members/Pace.java
@@ -8,20 +8,26 @@
  * @param probe    one member is asked each such span
  * @param forget   how long members that are gone are remembered
  * @param mostGone members that are gone and remembered, at most
+ * @param ticks    how often in a probe's span the clock is looked at
+ * @param suspects shortest suspicion in probes, times the logarithm of the size
  */
-public record Pace(Duration probe, Duration forget, int mostGone) {
+public record Pace(Duration probe, Duration forget, int mostGone, int ticks, double suspects) {
+    /** Of the probe's span: how often the clock is looked at. */
+    private static final int TICKS = 3;
+    /** Long enough to ride out a pause of a second. */
+    private static final double SUSPECTS = 5.5;
     /** 150 ms is some hundred round trips of a machine room; 20 min is longer than most cuts. */
     public static final Pace USUAL = new Pace(Duration.ofMillis(150), Duration.ofMinutes(20), 1_000);
 
+    public Pace(Duration probe, Duration forget, int mostGone) {
+        this(probe, forget, mostGone, TICKS, SUSPECTS);
+    }
+
     /** Members, those that are gone among them: what is said of each goes through all. */
     static final int MOST = 3_000;
-    /** Of the probe's span: how often the clock is looked at. */
-    private static final int TICKS = 3;
     /** Of the probe's span: from when others are asked to ask, and from when a probe has failed. */
     private static final double ASKS = 0.66;
     private static final double FAILS = 1.66;
-    /** Shortest suspicion in probes a member gets, times the logarithm of the size: long enough to ride out a pause of a second. */
-    private static final double SUSPECTS = 5.5;
     /** Size from which suspicion grows: in a small fleet a pause is as long as in a large one. */
     private static final int SMALL = 24;
     /** A suspicion that nobody confirms lasts as many times longer. */
@@ -32,7 +38,7 @@
     private static final int CARRIED = 4;
 
     Duration tick() {
-        return probe.dividedBy(TICKS);
+        return probe.dividedBy(ticks);
     }
 
     Duration asksAfter() {
@@ -49,7 +55,7 @@
     }
 
     Duration shortest(int size) {
-        return times(SUSPECTS * Math.log10(Math.max(SMALL, size) + 1));
+        return times(suspects * Math.log10(Math.max(SMALL, size) + 1));
     }
 
     /**
--- a/src/main/java/ochretiller/fleet/members/Rumours.java
+++ b/src/main/java/ochretiller/fleet/members/Rumours.java
@@ -65,6 +65,13 @@
         return new Message.News(entries, full);
     }
 
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        all.values().forEach(each -> text.append('~').append(each.start).append(each.full).append(each.carried));
+        return text.toString();
+    }
+
     static Entry entry(Member member, Known known) {
         long by = 0;
         if (known != null && member.state() == State.SUSPECT) for (Iterator<Long> i = known.accusers.iterator(); i.hasNext();) by = i.next();
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -250,7 +250,8 @@
 
     /** A Unix time on the schedule; a clock that was set back makes nothing come from the future. */
     private Duration sinceStart(long unixMillis) {
-        return loop.now().minusMillis(Math.max(0, System.currentTimeMillis() - unixMillis));
+        long unix = System.currentTimeMillis() + operator.drillClock().toMillis();
+        return loop.now().minusMillis(Math.max(0, unix - unixMillis));
     }
 
     private void arrived(Try inv) {
--- a/src/main/java/ochretiller/operator/Operator.java
+++ b/src/main/java/ochretiller/operator/Operator.java
@@ -17,12 +17,13 @@
  * @param uwsgi    where front ends of uwsgi connect, if any do
  * @param pools    workers that carry out operations in the processor's place
  * @param fleet    the fleet that the server takes part in, if any
+ * @param drillClock how far the Unix clock is set wrong, in drills only
  */
 public record Operator(boolean jsonLog, Optional<Figures> metrics, Optional<Remember> remember, Optional<Uwsgi> uwsgi,
-                       List<Workers> pools, Optional<FleetSettings> fleet) {
+                       List<Workers> pools, Optional<FleetSettings> fleet, Duration drillClock) {
     /** Nothing is switched on. */
     public static final Operator NONE = new Operator(false, Optional.empty(), Optional.empty(), Optional.empty(), List.of(),
-        Optional.empty());
+        Optional.empty(), Duration.ZERO);
 
     /**
      * A front that speaks uwsgi.
--- a/src/main/java/ochretiller/operator/OperatorFile.java
+++ b/src/main/java/ochretiller/operator/OperatorFile.java
@@ -39,7 +39,8 @@
                 : Optional.of(new Operator.Figures(Path.of(metrics.get("file").asText()), millis(metrics, "every_ms", 5_000))),
             remember.isMissingNode() ? Optional.empty() : Optional.of(remember(remember)),
             root.has("uwsgi") ? Optional.of(uwsgi(root.get("uwsgi"))) : Optional.empty(), pools(root.path("pools")),
-            root.has("fleet") ? Optional.of(fleet(root.get("fleet"))) : Optional.empty());
+            root.has("fleet") ? Optional.of(fleet(root.get("fleet"))) : Optional.empty(),
+            drillClock(root.path("drill")));
     }
 
     private static List<Operator.Workers> pools(JsonNode pools) {
@@ -80,16 +81,27 @@
 
     private static FleetSettings fleet(JsonNode node) {
         List<Address> seeds = new ArrayList<>();
-        node.path("seeds").forEach(each -> seeds.add(Address.of(each.asText())));
+        node.path("seeds").forEach(each -> seeds.add(fleetAddress(each)));
         Pace usual = Pace.USUAL;
-        return new FleetSettings(node.get("name").asText(), address(node.get("listen").asText()), fleetAddress(node, "advertise"),
-            fleetAddress(node, "serves"), Path.of(node.get("key_file").asText()), List.copyOf(seeds), node.path("zone").asText(""),
+        return new FleetSettings(node.get("name").asText(), address(node.get("listen").asText()), node.has("advertise") ? fleetAddress(node.get("advertise")) : null,
+            node.has("serves") ? fleetAddress(node.get("serves")) : null, Path.of(node.get("key_file").asText()), List.copyOf(seeds), node.path("zone").asText(""),
             new Pace(millis(node, "probe_ms", usual.probe().toMillis()), Duration.ofSeconds(node.path("forget_s").asLong(usual.forget().toSeconds())),
                 node.path("most_gone").asInt(usual.mostGone())));
     }
 
-    private static Address fleetAddress(JsonNode node, String name) {
-        return node.has(name) ? Address.of(node.get(name).asText()) : null;
+    private static Address fleetAddress(JsonNode node) {
+        try {
+            return Address.of(node.asText());
+        } catch (IllegalArgumentException e) {
+            throw new MalformedException("fleet: no address: '" + node.asText() + "'");
+        }
+    }
+
+    /** Drills set a server's clock wrong; anywhere else that would be a fault nobody could see. */
+    private static Duration drillClock(JsonNode drill) {
+        if (drill.isMissingNode()) return Duration.ZERO;
+        if (System.getenv("OCHRETILLER_DRILL") == null) throw new MalformedException("drill: only drills may set a clock wrong");
+        return Duration.ofMillis(drill.path("clock_ms").asLong(0));
     }
 
     private static Operator.Uwsgi uwsgi(JsonNode node) {
--- a/src/test/java/ochretiller/operator/OperatorFileTest.java
+++ b/src/test/java/ochretiller/operator/OperatorFileTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import ochretiller.fleet.members.Address;
 import ochretiller.settings.MalformedException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,6 +36,10 @@
         "{ remember: { folder: 7 } }                 | f:1:23: ; /remember/folder",
         "{ log: {}, log: {} }                        | f:1:17: ; log",
         "{ log: {} } {}                              | f:1:13: ; Trailing",
+        "{ fleet: { name: 'p', listen: '1.2.3.4:5' } } | f:1:10: ; 'key_file'",
+        "{ fleet: { name: 'p', listen: 'here:5', key_file: 'k' } } | f:1:31: ; /fleet/listen",
+        "{ fleet: { name: 'p', listen: '1.2.3.4:5', key_file: 'k', seeds: ['1.2.3.4:99999'] } } | fleet: ; 99999",
+        "{ drill: { clock_ms: -5 } }                 | drill: ; only drills",
         "[]                                          | f:1:1: ; object",
         "{ log:                                      | f:1: ; f",
         "log                                         | f:1:1: ; log"})
@@ -44,6 +49,16 @@
             .message().startsWith(parts[0].trim()).contains(parts[1].trim()).doesNotContain("\n");
     }
 
+    @Test
+    void fleetIsReadWithWhatIsUsual() {
+        Operator told = OperatorFile.of("{ fleet: { name: 'parts', listen: '127.0.0.1:4200', key_file: '/k', seeds: ['10.0.0.2:4200'], forget_s: 60 } }", "f");
+        assertThat(told.fleet()).hasValueSatisfying(fleet -> {
+            assertThat(fleet.seeds()).containsExactly(new Address("10.0.0.2", 4200));
+            assertThat(fleet.pace().probe()).isEqualTo(Duration.ofMillis(150));
+            assertThat(fleet.pace().forget()).isEqualTo(Duration.ofSeconds(60));
+        });
+    }
+
     @Test
     void absentFileIsNamed() {
         assertThatThrownBy(() -> OperatorFile.read(Path.of("none.json5"))).hasMessageContaining("none.json5");
--- a/src/test/java/ochretiller/pools/PoolTest.java
+++ b/src/test/java/ochretiller/pools/PoolTest.java
@@ -38,6 +38,18 @@
         assertThat(pool.choose(ms(10))).contains(b);
     }
 
+    @Test
+    void oneThatTheFleetDoesNotSeeGetsNothingWhileOthersAreLeft() {
+        pool.become(List.of(a, b), ms(0));
+        pool.seen(a, false);
+        for (int i = 0; i < 4; i++) assertThat(pool.choose(ms(0))).contains(b);
+        assertThat(pool.choose(ms(0))).as("a view is an opinion: nobody else is left").contains(a);
+        pool.seen(b, false);
+        pool.ended(b, End.ANSWERED, ms(1), ms(1));
+        pool.seen(a, true);
+        assertThat(pool.choose(ms(1))).contains(a);
+    }
+
     @Test
     void oneThatFailsIsLeftOutTriedByFewAndLetInAgain() {
         pool.add(a, ms(0));
