--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -104,6 +104,9 @@
         builder.directory(ROOT.toFile()).environment().put("OCHRETILLER_DRILL", "1");
         builder.environment().put("EDGE_CONFIG", config.toString());
         builder.environment().put("OPERATOR_FILE", operator.toString());
+        // A server that was killed takes its processor along: the next one knows nothing of its runs and counts its notices anew.
+        outside.keepsNotices = true;
+        if (process != null) outside.restarted();
         part = new CountDownLatch(1);
         Process started = process = builder.start();
         CountDownLatch mine = part;
--- a/drill/src/main/java/ochretiller/drill/Drill.java
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.FleetScriptFile;
 import ochretiller.settings.MalformedException;
@@ -68,6 +71,30 @@
         return broken.isEmpty() ? 0 : BROKEN;
     }
 
+    @Command(name = "example", mixinStandardHelpOptions = true,
+        description = "Three servers that find one another; one is killed with SIGKILL, and what the others see is shown.")
+    int example() throws Exception {
+        FleetScript script = FleetScriptFile.of("""
+            { name: 'example', seconds: 12, members: 3, zones: 3, incidents: [ { at_s: 5, what: 'kill', who: '3' } ],
+              expect: { settled_s: 10, false_verdicts: 0 } }""", "example");
+        Path folder = Files.createTempDirectory("drill");
+        Checker checker = play(script, 1, folder, true, false);
+        Map<Integer, String> last = new TreeMap<>();
+        Map<String, String> names = new HashMap<>();
+        for (History.Event event : History.read(folder.resolve("history.jsonl"))) {
+            if (event.what() == History.What.STARTED) names.put(event.id(), event.text());
+            if (event.what() == History.What.KILLED) System.out.printf(Locale.ROOT, "%5.1f s  m%d is killed%n", event.atS(), event.slot());
+            if (event.what() != History.What.VIEW) continue;
+            Map<String, String> seen = new TreeMap<>();
+            event.view().forEach((start, state) -> seen.put(names.getOrDefault(start, start), state));
+            if (!seen.toString().equals(last.put(event.slot(), seen.toString()))) {
+                System.out.printf(Locale.ROOT, "%5.1f s  m%d sees %s%n", event.atS(), event.slot(), seen);
+            }
+        }
+        System.out.println("a picture of who sees whom: " + folder.resolve("views.svg"));
+        return tell(script, 1, checker, false);
+    }
+
     @Command(name = "check", mixinStandardHelpOptions = true, description = "Check a history that was kept.")
     int check(@Parameters(description = "The script that was played.") Path script, @Parameters(description = "The history.") Path history,
               @Option(names = "--members") Integer members) throws IOException {
--- a/src/main/java/ochretiller/fleet/members/Members.java
+++ b/src/main/java/ochretiller/fleet/members/Members.java
@@ -34,22 +34,22 @@
     /** Questions that wait at once: a second of all kinds at their most. */
     private static final int PENDING = 512;
     /** A view may differ for so many probes before it is compared, and is compared so seldom. */
-    private static final int DIFFERS = 2;
-    private static final int COMPARES = 6;
+    private static final int DIFFERS = 3;
+    private static final int COMPARES = 9;
     /** Views that are told in a second at most, and pages of one: a whole fleet of a thousand. */
     private static final int TOLD_A_SECOND = 10;
     private static final int PAGES = 24;
     /** Gone members are asked each once a second by all together, and by each server at most so often a second. */
     private static final double GONE_RATE = 0.5;
     /** Seeds are asked with a growing pause of so many probes, where nobody is known and beside others. */
-    private static final int SEED_FIRST = 2;
-    private static final int SEED_MOST = 33;
+    private static final int SEED_FIRST = 3;
+    private static final int SEED_MOST = 50;
     /** A newcomer serves alone where no seed answers for so many probes. */
-    private static final int JOINS = 14;
+    private static final int JOINS = 20;
     /** The word to leave is said so many times to all. */
     private static final int LEAVES = 3;
     /** The same twin is told to the operators so seldom, in probes. */
-    private static final int TWIN_TOLD = 400;
+    private static final int TWIN_TOLD = 600;
 
     private final Pace pace;
     private final List<Address> seeds;
--- a/src/main/java/ochretiller/fleet/members/Pace.java
+++ b/src/main/java/ochretiller/fleet/members/Pace.java
@@ -14,10 +14,10 @@
 public record Pace(Duration probe, Duration forget, int mostGone, int ticks, double suspects) {
     /** Of the probe's span: how often the clock is looked at. */
     private static final int TICKS = 3;
-    /** Long enough to ride out a pause of a second. */
-    private static final double SUSPECTS = 5.5;
-    /** 150 ms is some hundred round trips of a machine room; 20 min is longer than most cuts. */
-    public static final Pace USUAL = new Pace(Duration.ofMillis(150), Duration.ofMinutes(20), 1_000);
+    /** With the probe before it, long enough to ride out a pause of a second; a longer one makes each death known later. */
+    private static final double SUSPECTS = 7.5;
+    /** 100 ms is some hundred round trips of a machine room, and ten questions a second find each death soon; 20 min is longer than most cuts. */
+    public static final Pace USUAL = new Pace(Duration.ofMillis(100), Duration.ofMinutes(20), 1_000);
 
     public Pace(Duration probe, Duration forget, int mostGone) {
         this(probe, forget, mostGone, TICKS, SUSPECTS);
