Agree on epochs and claim keyed runs at a majority of keepers, as pure decisions

Need: a tokened invocation has to run at most once in the fleet, and a repeat anywhere has to find its result.

fleet.epochs agrees on numbered layouts among named voters (a voter without its disk abstains from what it may have promised) and has each range's keepers by rendezvous; fleet.copies has what a keeper answers, the way of a claim and of an end through a majority, the join of copies that differ, and hand-over of ranges. Called by no server yet.

--- a/drill/src/main/java/ochretiller/drill/Links.java
+++ b/drill/src/main/java/ochretiller/drill/Links.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
@@ -99,7 +100,7 @@
                 selector.selectedKeys().clear();
                 while (!late.isEmpty() && late.peek().at <= System.nanoTime()) send(late.poll());
             }
-        } catch (ClosedSelectorException e) {
+        } catch (ClosedSelectorException | ClosedChannelException e) {
             // the drill is over
         } catch (IOException e) {
             throw new IllegalStateException(e);
--- a/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
+++ b/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
@@ -8,8 +8,11 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import ochretiller.emulator.fleet.CopiesWorld;
 import ochretiller.emulator.fleet.Drawn;
+import ochretiller.emulator.fleet.ClaimsModel;
 import ochretiller.emulator.fleet.Explore;
+import ochretiller.emulator.fleet.MembersModel;
 import ochretiller.emulator.fleet.FleetMeasure;
 import ochretiller.emulator.fleet.FleetOutcome;
 import ochretiller.emulator.fleet.FleetScript;
@@ -93,6 +96,44 @@
         return failed == 0 ? 0 : MISSED;
     }
 
+    @Command(name = "copies", mixinStandardHelpOptions = true,
+        description = "Keyed invocations and their repeats anywhere in a fleet that keeps claims for one another; scripts drawn by chance.")
+    int copies(@Option(names = "--seed", defaultValue = "1") long seed, @Option(names = "--seeds", defaultValue = "200") int seeds,
+               @Option(names = "--tokens", defaultValue = "150") int tokens,
+               @Option(names = "--server-mode", description = "Each server for itself, as without a fleet.") boolean alone) throws Exception {
+        List<Callable<CopiesWorld.Outcomes>> runs = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) {
+            long each = seed + i;
+            runs.add(() -> new CopiesWorld(Drawn.copies(each), each, each % 3 * 0.4, !alone).play(tokens, 25));
+        }
+        CopiesWorld.Outcomes all = new CopiesWorld.Outcomes();
+        int broken = 0;
+        int number = 0;
+        for (Future<CopiesWorld.Outcomes> each : all(runs)) {
+            CopiesWorld.Outcomes one = each.get();
+            all.tries += one.tries;
+            all.succeeded += one.succeeded;
+            all.replayed += one.replayed;
+            all.throttled += one.throttled;
+            all.errored += one.errored;
+            all.otherBody += one.otherBody;
+            all.unanswered += one.unanswered;
+            all.runs += one.runs;
+            all.conflicts += one.conflicts;
+            all.messages += one.messages;
+            all.epochs = Math.max(all.epochs, one.epochs);
+            all.claimMs.addAll(one.claimMs);
+            if (!one.broken.isEmpty() && broken++ < 10) {
+                System.out.println("seed " + (seed + number) + ": " + one.broken.get(0) + (one.broken.size() > 1 ? " and " + (one.broken.size() - 1) + " more" : ""));
+            }
+            number++;
+        }
+        System.out.printf(Locale.ROOT, "%d schedules, %d broken: tries %d, succeeded %d (%d of them replays), throttled %d, errored %d, other body %d, "
+            + "unanswered %d; runs %d, conflicts %d, epochs up to %d, claim to majority p50 %.1f p99 %.1f ms%n", seeds, broken, all.tries, all.succeeded,
+            all.replayed, all.throttled, all.errored, all.otherBody, all.unanswered, all.runs, all.conflicts, all.epochs, all.claimMs(50), all.claimMs(99));
+        return broken == 0 ? 0 : MISSED;
+    }
+
     @Command(name = "measure", mixinStandardHelpOptions = true,
         description = "Cost and speed by size, false verdicts beside heartbeats of all to all; tables and charts in a folder.")
     int measure(@Option(names = "--out", required = true) Path out,
@@ -107,10 +148,11 @@
     int explore(@Option(names = "--members", defaultValue = "3") int members, @Option(names = "--depth", defaultValue = "20") int depth,
                 @Option(names = "--crashes", defaultValue = "1") int crashes,
                 @Option(names = "--states", defaultValue = "200000", description = "No further depth behind so many states.") long states,
+                @Option(names = "--claims", description = "Claims of one token by two servers at three keepers, over a change of epoch.") boolean claims,
                 @Option(names = "--planted", description = "With a planted fault, which has to be found.") boolean planted) throws Exception {
-        Explore.Found found = new Explore(members, crashes, planted).explore(depth, states, System.out::println);
-        System.out.printf(Locale.ROOT, "%d members, %d crashes: depth %d whole, %d states, %d steps, settles within %d looks at the clock%s%n", members,
-            crashes, found.depth(), found.states(), found.edges(), found.worstSettles(), found.broken() == null ? "; nothing broken" : "; BROKEN: " + found.broken());
+        Explore.Found found = new Explore(() -> claims ? new ClaimsModel(crashes, planted) : new MembersModel(members, crashes, planted)).explore(depth, states, System.out::println);
+        System.out.printf(Locale.ROOT, "%s, %d crashes: depth %d whole, %d states, %d steps, settles within %d steps%s%n",
+            claims ? "claims" : members + " members", crashes, found.depth(), found.states(), found.edges(), found.worstSettles(), found.broken() == null ? "; nothing broken" : "; BROKEN: " + found.broken());
         return found.broken() == null ? 0 : MISSED;
     }
 
--- a/emulator/src/main/java/ochretiller/emulator/fleet/Drawn.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/Drawn.java
@@ -32,6 +32,23 @@
             new FleetScript.Expect(settledS, -1, -1, 0));
     }
 
+    /** A script for a fleet that keeps copies: 3 to 9 members, faults of what lasts and comes back. */
+    public static FleetScript copies(long seed) {
+        SplittableRandom chance = new Seeds(seed).of("copies");
+        int members = 3 + chance.nextInt(7);
+        int zones = 1 + chance.nextInt(3);
+        List<FleetScript.Incident> incidents = new ArrayList<>();
+        int count = chance.nextInt(7);
+        while (incidents.size() < count) {
+            FleetScript.Incident each = incident(chance, members);
+            boolean plays = List.of("kill", "pause", "leave", "release", "cut", "deaf", "mute", "one-way", "loss", "delay", "duplicate", "reorder",
+                "crowd").contains(each.what());
+            if (plays && (each.forS() > 0 || !each.what().equals("leave"))) incidents.add(each);
+        }
+        return new FleetScript("copies-" + seed, 100, members, zones, 2, 1, 100, 0.3, 0.3, new FleetScript.Load(0, 0), incidents,
+            FleetScript.Expect.NOTHING);
+    }
+
     private static FleetScript.Incident incident(SplittableRandom chance, int members) {
         String what = KINDS.get(chance.nextInt(KINDS.size()));
         double at = 1 + chance.nextDouble() * BEGIN_S;
@@ -43,11 +60,12 @@
                 // Who stays dead is no seed: a fleet whose seeds are all gone for good takes nobody in.
                 if (chance.nextInt(3) == 0) {
                     span = 0;
-                    who = (SEEDS + 1) + "-" + (SEEDS + 1 + chance.nextInt(members - SEEDS));
+                    int first = Math.min(members, SEEDS + 1);
+                    who = first + "-" + (first + chance.nextInt(Math.max(1, members - SEEDS)));
                 }
             }
             case "move", "take", "twin", "leave" -> {
-                who = "" + (SEEDS + 1 + chance.nextInt(members - SEEDS));
+                who = "" + (Math.min(members, SEEDS + 1) + chance.nextInt(Math.max(1, members - SEEDS)));
                 if (what.equals("leave") && chance.nextBoolean()) span = 0;
             }
             case "join" -> strength = 1 + chance.nextInt(20);
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetScript.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetScript.java
@@ -58,7 +58,7 @@
                 int zone = Integer.parseInt(part.substring(1));
                 for (int i = 1; i <= members; i++) if (zone(i) == zone) all.add(i);
             } else if (part.contains("/")) {
-                int count = members * (part.charAt(0) - '0') / Math.max(1, part.charAt(2) - '0');
+                int count = Math.max(1, members * (part.charAt(0) - '0') / Math.max(1, part.charAt(2) - '0'));
                 for (int i = members - count + 1; i <= members; i++) all.add(i);
             } else {
                 int dash = part.indexOf('-');
--- a/emulator/src/test/java/ochretiller/emulator/FleetTest.java
+++ b/emulator/src/test/java/ochretiller/emulator/FleetTest.java
@@ -14,6 +14,7 @@
 import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.FleetScriptFile;
 import ochretiller.emulator.fleet.FleetWorld;
+import ochretiller.emulator.fleet.MembersModel;
 import ochretiller.settings.MalformedException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -69,9 +70,9 @@
 
     @Test
     void allOrdersOfEventsAreExploredAndAPlantedFaultIsFound() throws Exception {
-        assertThat(new Explore(2, 1, false).explore(7, 10_000, line -> { }).broken()).isNull();
-        assertThat(new Explore(3, 1, false).explore(5, 10_000, line -> { }).broken()).isNull();
-        assertThat(new Explore(3, 1, true).explore(3, 10_000, line -> { }).broken()).contains("does not settle");
+        assertThat(new Explore(() -> new MembersModel(2, 1, false)).explore(7, 10_000, line -> { }).broken()).isNull();
+        assertThat(new Explore(() -> new MembersModel(3, 1, false)).explore(5, 10_000, line -> { }).broken()).isNull();
+        assertThat(new Explore(() -> new MembersModel(3, 1, true)).explore(3, 10_000, line -> { }).broken()).contains("does not settle");
     }
 
     @Test
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -0,0 +1,382 @@
+package ochretiller.fleet.copies;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import ochretiller.fleet.epochs.Layout;
+
+/**
+ * The way of a server's keyed invocations through the keepers: claimed at a majority before the run, kept at a majority before
+ * the answer. What silence leaves open stays open: a claim that may have been granted is released by its owner's word, and never
+ * run afterwards.
+ */
+public final class Claims {
+    /** A question is said again after this, and a claim without a majority by then is given up: some dozen round trips. */
+    private static final Duration AGAIN = Duration.ofMillis(60);
+    private static final Duration GIVES_UP = Duration.ofMillis(400);
+    /** Between two looks at what another has claimed: doubled from the first to the last, moved by chance. */
+    private static final Duration LOOK_FIRST = Duration.ofMillis(40);
+    private static final Duration LOOK_MOST = Duration.ofMillis(640);
+    /** Tries that wait for a verdict, those that look after another's claim among them. */
+    private static final int MOST = 10_000;
+    /** Own claims that are remembered as released, to say so when asked. */
+    private static final int REMEMBERED = 20_000;
+
+    private final String name;
+    private final long start;
+    private final RandomGenerator chance;
+    private final ClaimLimit limit = new ClaimLimit();
+    private final Map<ClaimId, Attempt> attempts = new LinkedHashMap<>();
+    private final Map<ClaimId, Ending> endings = new LinkedHashMap<>();
+    private final Map<ClaimId, String> running = new LinkedHashMap<>();
+    private final Map<ClaimId, Duration> releasedIds = new LinkedHashMap<>(16, 0.75f, false) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<ClaimId, Duration> eldest) {
+            return size() > REMEMBERED;
+        }
+    };
+    private final List<Keeper.Out> outs = new ArrayList<>();
+    private Layout layout;
+    private long runs;
+
+    /** One keyed try on its way to a verdict. */
+    private static final class Attempt {
+        final String token;
+        final String body;
+        final Duration due;
+        final Duration windowEnds;
+        final Consumer<Verdict> then;
+        ClaimId id;
+        boolean claims = true;
+        Duration began;
+        Duration said;
+        Duration nextLook;
+        Duration pause = LOOK_FIRST;
+        final Map<String, CopyMessage.Answer> answers = new TreeMap<>();
+        boolean rivalSeen;
+
+        Attempt(String token, String body, Duration due, Duration windowEnds, Consumer<Verdict> then) {
+            this.token = token;
+            this.body = body;
+            this.due = due;
+            this.windowEnds = windowEnds;
+            this.then = then;
+        }
+    }
+
+    /** One end on its way to a majority. */
+    private static final class Ending {
+        final String token;
+        final Outcome outcome;
+        final Duration due;
+        final Duration windowEnds;
+        Consumer<Boolean> then;
+        Duration said;
+        final Set<String> kept = new HashSet<>();
+
+        Ending(String token, Outcome outcome, Duration due, Duration windowEnds, Consumer<Boolean> then) {
+            this.token = token;
+            this.outcome = outcome;
+            this.due = due;
+            this.windowEnds = windowEnds;
+            this.then = then;
+        }
+    }
+
+    /**
+     * @param start of this process: claims of another start of the same name are another's
+     */
+    public Claims(String name, long start, Layout layout, RandomGenerator chance) {
+        this.name = name;
+        this.start = start;
+        this.layout = layout;
+        this.chance = chance;
+    }
+
+    public List<Keeper.Out> outs() {
+        List<Keeper.Out> all = List.copyOf(outs);
+        outs.clear();
+        return all;
+    }
+
+    public Layout layout() {
+        return layout;
+    }
+
+    public int underWay() {
+        return attempts.size() + endings.size();
+    }
+
+    public double limit() {
+        return limit.limit();
+    }
+
+    /** A later epoch: what is under way is asked anew of whoever keeps it now. */
+    public void become(Layout next, Duration now) {
+        if (next.epoch() <= layout.epoch()) return;
+        layout = next;
+        for (Attempt each : List.copyOf(attempts.values())) {
+            each.answers.clear();
+            ask(each, now);
+        }
+        endings.forEach((id, each) -> {
+            each.kept.clear();
+            tell(id, each, now);
+        });
+    }
+
+    private List<String> keepers(String token) {
+        return layout.keepers(Layout.range(token));
+    }
+
+    private void send(String to, CopyMessage message) {
+        outs.add(new Keeper.Out(to, message));
+    }
+
+    private static Duration left(Duration until, Duration now) {
+        Duration left = until.minus(now);
+        return left.isNegative() ? Duration.ZERO : left;
+    }
+
+    /**
+     * Asks the keepers whether this may run here.
+     *
+     * @param due        when the run has to begin at the latest, or be given up
+     * @param windowEnds end of the token's window
+     * @param then       handed the one verdict, perhaps at once
+     */
+    public void claim(String token, String body, Duration due, Duration windowEnds, Duration now, Consumer<Verdict> then) {
+        List<String> keepers = keepers(token);
+        long silent = keepers.stream().filter(limit::silent).count();
+        boolean hopeless = keepers.isEmpty() || keepers.size() - silent < Layout.majority(keepers.size());
+        // What cannot be claimed is throttled at once, before it waits for anybody.
+        if (!limit.room() || attempts.size() >= MOST || hopeless && !limit.probe(now)) {
+            then.accept(new Verdict(Verdict.What.THROTTLED, null, null));
+            return;
+        }
+        limit.begun();
+        Attempt attempt = new Attempt(token, body, due, windowEnds, then);
+        renew(attempt);
+        attempt.began = now;
+        ask(attempt, now);
+    }
+
+    private void renew(Attempt attempt) {
+        if (attempt.id != null) attempts.remove(attempt.id);
+        attempt.id = new ClaimId(name, start, ++runs);
+        attempt.answers.clear();
+        attempts.put(attempt.id, attempt);
+    }
+
+    private void ask(Attempt attempt, Duration now) {
+        attempt.said = now;
+        for (String keeper : keepers(attempt.token)) {
+            if (attempt.answers.containsKey(keeper)) continue;
+            limit.asked(keeper);
+            send(keeper, attempt.claims
+                ? new CopyMessage.Claim(layout.epoch(), attempt.token, attempt.id, attempt.body, left(attempt.windowEnds, now))
+                : new CopyMessage.Look(layout.epoch(), attempt.token, attempt.id));
+        }
+    }
+
+    /** It is known that this claim never ran and never will: its keepers are told, and whoever asks. */
+    private void release(Attempt attempt, Duration now) {
+        if (!attempt.claims) return;
+        releasedIds.put(attempt.id, attempt.windowEnds);
+        for (String keeper : keepers(attempt.token)) send(keeper, new CopyMessage.Release(attempt.token, attempt.id, left(attempt.windowEnds, now)));
+    }
+
+    private void end(Attempt attempt, Verdict.What what, Outcome outcome, boolean timely) {
+        attempts.remove(attempt.id);
+        if (attempt.claims) limit.over(timely);
+        attempt.then.accept(new Verdict(what, attempt.id, outcome));
+    }
+
+    public void received(String from, CopyMessage message, Duration now) {
+        if (message instanceof CopyMessage.Answer answer) {
+            limit.heard(from);
+            Attempt attempt = attempts.get(answer.id());
+            if (attempt == null || !keepers(attempt.token).contains(from)) return;
+            if (attempt.claims && answer.word() == CopyMessage.Word.FREE) return; // to a look of before
+            attempt.answers.put(from, answer);
+            weigh(attempt, now);
+        } else if (message instanceof CopyMessage.Kept kept) {
+            limit.heard(from);
+            Ending ending = endings.get(kept.id());
+            if (ending == null || kept.epoch() != layout.epoch() || !keepers(ending.token).contains(from)) return;
+            ending.kept.add(from);
+            if (ending.kept.size() >= Layout.majority(keepers(ending.token).size())) answer(ending, true);
+            if (ending.kept.size() == keepers(ending.token).size()) endings.remove(kept.id());
+        } else if (message instanceof CopyMessage.Whether whether) {
+            Duration until = releasedIds.get(whether.id());
+            if (until != null) send(from, new CopyMessage.Release(whether.token(), whether.id(), left(until, now)));
+            if (until == null) return;
+            for (String keeper : keepers(whether.token())) send(keeper, new CopyMessage.Release(whether.token(), whether.id(), left(until, now)));
+        }
+    }
+
+    /** The table of the design note: what each mix of answers allows. */
+    private void weigh(Attempt attempt, Duration now) {
+        int size = keepers(attempt.token).size();
+        int majority = Layout.majority(size);
+        int granted = 0;
+        int free = 0;
+        int against = 0;
+        for (CopyMessage.Answer answer : attempt.answers.values()) {
+            switch (answer.word()) {
+                case DONE -> {
+                    done(attempt, answer.outcome().orElseThrow(), now);
+                    return;
+                }
+                case GRANTED -> {
+                    // A grant of another epoch is another majority's.
+                    if (answer.epoch() == layout.epoch()) granted++;
+                }
+                case FREE -> {
+                    if (answer.epoch() == layout.epoch()) free++;
+                }
+                case HELD -> {
+                    against++;
+                    if (!attempt.rivalSeen || !attempt.claims) {
+                        answer.other().ifPresent(other -> send(other.server(), new CopyMessage.Whether(attempt.token, other)));
+                    }
+                    attempt.rivalSeen = true;
+                }
+                default -> against++;
+            }
+        }
+        if (attempt.claims && granted >= majority) {
+            if (now.compareTo(attempt.due) >= 0) { // looked at last: a server that slept acts on nothing old
+                release(attempt, now);
+                end(attempt, Verdict.What.THROTTLED, null, false);
+                return;
+            }
+            running.put(attempt.id, attempt.token);
+            end(attempt, Verdict.What.RUN, null, true);
+        } else if (attempt.claims && size - against < majority) {
+            makeWay(attempt, now);
+        } else if (!attempt.claims && free >= majority) {
+            // Whoever held it has let it go: by a majority it was never run.
+            attempt.claims = true;
+            attempt.rivalSeen = false;
+            limit.begun();
+            renew(attempt);
+            attempt.began = now;
+            ask(attempt, now);
+        }
+    }
+
+    /** It cannot be this one now: its claim is taken back, and the other's end is looked for. */
+    private void makeWay(Attempt attempt, Duration now) {
+        release(attempt, now);
+        attempt.claims = false;
+        limit.over(true);
+        renew(attempt);
+        later(attempt, now);
+    }
+
+    private void later(Attempt attempt, Duration now) {
+        long nanos = attempt.pause.toNanos();
+        attempt.nextLook = now.plusNanos(nanos / 2 + (long) (nanos * chance.nextDouble()));
+        attempt.pause = attempt.pause.multipliedBy(2).compareTo(LOOK_MOST) > 0 ? LOOK_MOST : attempt.pause.multipliedBy(2);
+    }
+
+    private void done(Attempt attempt, Outcome outcome, Duration now) {
+        release(attempt, now);
+        if (!outcome.body().equals(attempt.body)) end(attempt, Verdict.What.OTHER_BODY, outcome, true);
+        else end(attempt, outcome.succeeded() ? Verdict.What.REPLAY : Verdict.What.ENDED, outcome, true);
+    }
+
+    /** A claimed run has never begun after all: somebody else may have it. */
+    public void neverRan(ClaimId id, Duration windowEnds, Duration now) {
+        String token = running.remove(id);
+        if (token == null) return;
+        releasedIds.put(id, windowEnds);
+        for (String keeper : keepers(token)) send(keeper, new CopyMessage.Release(token, id, left(windowEnds, now)));
+    }
+
+    /**
+     * A claimed run has ended.
+     *
+     * @param due  when its answer has to leave
+     * @param then handed, once, whether a majority keeps the end by then
+     */
+    public void ended(ClaimId id, Outcome outcome, Duration due, Duration windowEnds, Duration now, Consumer<Boolean> then) {
+        String token = running.remove(id);
+        if (token == null) {
+            then.accept(false);
+            return;
+        }
+        Ending ending = new Ending(token, outcome, due, windowEnds, then);
+        endings.put(id, ending);
+        tell(id, ending, now);
+    }
+
+    private void tell(ClaimId id, Ending ending, Duration now) {
+        ending.said = now;
+        for (String keeper : keepers(ending.token)) {
+            if (ending.kept.contains(keeper)) continue;
+            limit.asked(keeper);
+            send(keeper, new CopyMessage.Ended(layout.epoch(), ending.token, id, ending.outcome, left(ending.windowEnds, now)));
+        }
+    }
+
+    private static void answer(Ending ending, boolean kept) {
+        Consumer<Boolean> then = ending.then;
+        ending.then = null;
+        if (then != null) then.accept(kept);
+    }
+
+    /** Time goes on: questions are said again, given up, looked after. */
+    public void tick(Duration now) {
+        for (Attempt attempt : List.copyOf(attempts.values())) {
+            if (!attempts.containsKey(attempt.id)) continue;
+            if (now.compareTo(attempt.due) >= 0) {
+                release(attempt, now);
+                end(attempt, attempt.rivalSeen ? Verdict.What.UNKNOWN : Verdict.What.THROTTLED, null, false);
+            } else if (attempt.claims && now.minus(attempt.began).compareTo(GIVES_UP) >= 0) {
+                // Two that have half of the keepers each would wait for one another: both make way, and come back by chance.
+                if (attempt.rivalSeen) {
+                    makeWay(attempt, now);
+                } else {
+                    release(attempt, now);
+                    end(attempt, Verdict.What.THROTTLED, null, false);
+                }
+            } else if (attempt.claims && now.minus(attempt.said).compareTo(AGAIN) >= 0) {
+                // Who was behind or in another epoch may have come up to it meanwhile.
+                attempt.answers.values().removeIf(answer -> answer.word() == CopyMessage.Word.BEHIND || answer.word() == CopyMessage.Word.STALE);
+                ask(attempt, now);
+            } else if (!attempt.claims && now.compareTo(attempt.nextLook) >= 0) {
+                renew(attempt);
+                later(attempt, now);
+                ask(attempt, now);
+            }
+        }
+        endings.entrySet().removeIf(each -> {
+            Ending ending = each.getValue();
+            if (now.compareTo(ending.due) >= 0) answer(ending, false);
+            if (now.compareTo(ending.windowEnds) >= 0) return true;
+            Duration pause = ending.then == null ? LOOK_MOST : AGAIN;
+            if (now.minus(ending.said).compareTo(pause) >= 0) tell(each.getKey(), ending, now);
+            return false;
+        });
+    }
+
+    /** All that decides what it does next, as text; times are told from now on. */
+    public String state(Duration now) {
+        StringBuilder text = new StringBuilder().append(layout.epoch()).append(running).append(releasedIds.keySet());
+        attempts.forEach((id, each) -> text.append('a').append(id).append(each.claims).append(each.answers).append(each.rivalSeen)
+            .append(now.minus(each.said)).append(now.minus(each.began)).append(each.nextLook == null ? "" : each.nextLook.minus(now)));
+        endings.forEach((id, each) -> text.append('e').append(id).append(each.kept).append(now.minus(each.said)).append(each.then == null));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/copies/Entry.java
@@ -0,0 +1,67 @@
+package ochretiller.fleet.copies;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * What a keeper has of one token. Two copies become one by {@link #join}, in any order and any number of times with the same
+ * outcome: a result goes over claims, a claim over nothing, a claim is released only by the owner's own word, and no window is
+ * ever shortened. What must not exist, two results of one token, is kept whole.
+ *
+ * @param claims   who wants to run it, or runs it, with the hash of what was asked for
+ * @param released claims whose owner has said that they never ran
+ * @param outcomes ends of runs, by their claims
+ * @param until    end of its window on the keeper's clock
+ */
+public record Entry(Map<ClaimId, String> claims, Set<ClaimId> released, Map<ClaimId, Outcome> outcomes, Duration until) {
+    /** Claims of one token, released ones among them: more are a caller's who tries without end. */
+    static final int MOST = 16;
+
+    static final Entry NOTHING = new Entry(Map.of(), Set.of(), Map.of(), Duration.ZERO);
+
+    public Entry join(Entry other) {
+        Map<ClaimId, String> allClaims = new TreeMap<>(claims);
+        other.claims.forEach(allClaims::putIfAbsent);
+        Set<ClaimId> allReleased = new TreeSet<>(released);
+        allReleased.addAll(other.released);
+        Map<ClaimId, Outcome> allOutcomes = new TreeMap<>(outcomes);
+        other.outcomes.forEach(allOutcomes::putIfAbsent);
+        return new Entry(allClaims, allReleased, allOutcomes, until.compareTo(other.until) > 0 ? until : other.until);
+    }
+
+    /** The claim that may be running, other than this one; the first by its name where there are several. */
+    Optional<ClaimId> other(ClaimId mine) {
+        for (ClaimId each : claims.keySet()) if (!each.equals(mine) && !released.contains(each)) return Optional.of(each);
+        return Optional.empty();
+    }
+
+    /** How it ended; of several ends, which must not exist, the same one everywhere: that of the first claim by its name. */
+    Optional<Outcome> outcome() {
+        return outcomes.values().stream().findFirst();
+    }
+
+    /** Two ends of one token: a second run, or a keeper that lies. */
+    public boolean conflict() {
+        return outcomes.size() > 1;
+    }
+
+    boolean full() {
+        return claims.size() + released.size() >= MOST;
+    }
+
+    Entry claimed(ClaimId id, String body, Duration window) {
+        return join(new Entry(Map.of(id, body), Set.of(), Map.of(), window));
+    }
+
+    Entry release(ClaimId id, Duration window) {
+        return join(new Entry(Map.of(), Set.of(id), Map.of(), window));
+    }
+
+    Entry ended(ClaimId id, Outcome outcome, Duration window) {
+        return join(new Entry(Map.of(id, outcome.body()), Set.of(), Map.of(id, outcome), window));
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/epochs/EpochMessage.java
@@ -0,0 +1,35 @@
+package ochretiller.fleet.epochs;
+
+/** What voters say to one another about the epoch {@code number}, and what all are told once it is agreed on. */
+public sealed interface EpochMessage {
+    /** Will you listen to this attempt? */
+    record Prepare(long number, Ballot ballot) implements EpochMessage {
+    }
+
+    /** To this one and no earlier; {@code accepted} is what was accepted before, or null. */
+    record Promise(long number, Ballot ballot, Ballot acceptedAt, Layout accepted) implements EpochMessage {
+    }
+
+    /** Take this. */
+    record Accept(long number, Ballot ballot, Layout layout) implements EpochMessage {
+    }
+
+    record Accepted(long number, Ballot ballot) implements EpochMessage {
+    }
+
+    /** A later attempt was promised. */
+    record Refused(long number, Ballot ballot, Ballot promised) implements EpochMessage {
+    }
+
+    /** This is agreed on. */
+    record Agreed(Layout layout) implements EpochMessage {
+    }
+
+    /** A voter that lost its disk asks what it may have promised. */
+    record WhatIsOpen(long nonce) implements EpochMessage {
+    }
+
+    /** The highest number that this voter knows of, agreed on or attempted, and the layout in force. */
+    record Open(long nonce, long highest, Layout layout) implements EpochMessage {
+    }
+}
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/epochs/Layout.java
@@ -0,0 +1,122 @@
+package ochretiller.fleet.epochs;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Who keeps what in one epoch. Tokens fall into ranges, and each range has its keepers by rendezvous: a server that comes or goes
+ * moves only what it keeps itself. A value; who keeps a range is reckoned once.
+ */
+public final class Layout {
+    /** Parts into which all tokens fall: some for each of a hundred servers, few enough to list. */
+    public static final int RANGES = 256;
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+    private final long epoch;
+    private final List<Server> servers;
+    private final List<Server> former;
+    private final int factor;
+    private final List<List<String>> keepers = new ArrayList<>();
+    private final List<List<String>> formerKeepers = new ArrayList<>();
+
+    /** A server that keeps copies; its name outlives its restarts, as its disk does. */
+    public record Server(String name, String zone) {
+    }
+
+    /**
+     * @param former servers of the epoch before: who has missed some epochs must still know whom to ask
+     * @param factor keepers of each range, as long as there are that many
+     */
+    public Layout(long epoch, List<Server> servers, List<Server> former, int factor) {
+        this.epoch = epoch;
+        this.servers = List.copyOf(servers);
+        this.former = List.copyOf(former);
+        this.factor = factor;
+        for (int range = 0; range < RANGES; range++) {
+            keepers.add(choose(this.servers, range));
+            formerKeepers.add(choose(this.former, range));
+        }
+    }
+
+    /** Before any epoch is agreed on: nobody keeps anything. */
+    public static Layout none(int factor) {
+        return new Layout(0, List.of(), List.of(), factor);
+    }
+
+    public long epoch() {
+        return epoch;
+    }
+
+    public List<Server> servers() {
+        return servers;
+    }
+
+    /** The range that a token falls into. */
+    public static int range(String token) {
+        return (int) (HASH.hashChars(token) & (RANGES - 1));
+    }
+
+    /** Names of a range's keepers: the highest draws, zones apart as far as there are zones. */
+    public List<String> keepers(int range) {
+        return keepers.get(range);
+    }
+
+    /** Names of those that kept a range in the epoch before. */
+    public List<String> formerKeepers(int range) {
+        return formerKeepers.get(range);
+    }
+
+    private List<String> choose(List<Server> among, int range) {
+        List<Server> order = new ArrayList<>(among);
+        order.sort(Comparator.comparingLong((Server each) -> HASH.hashLongs(new long[] {range, HASH.hashChars(each.name)})).reversed()
+            .thenComparing(Server::name));
+        List<String> chosen = new ArrayList<>();
+        Set<String> zones = new HashSet<>();
+        for (Server each : order) if (chosen.size() < factor && zones.add(each.zone)) chosen.add(each.name);
+        for (Server each : order) if (chosen.size() < factor && !chosen.contains(each.name)) chosen.add(each.name);
+        return List.copyOf(chosen);
+    }
+
+    /** How many of a range's keepers have to agree. */
+    public static int majority(int keepers) {
+        return keepers / 2 + 1;
+    }
+
+    public boolean has(String name) {
+        return servers.stream().anyMatch(each -> each.name.equals(name));
+    }
+
+    /** The next epoch, with one more. */
+    public Layout with(Server server) {
+        List<Server> next = new ArrayList<>(servers);
+        next.add(server);
+        next.sort(Comparator.comparing(Server::name));
+        return new Layout(epoch + 1, next, servers, factor);
+    }
+
+    /** The next epoch, with one less. */
+    public Layout without(String name) {
+        return new Layout(epoch + 1, servers.stream().filter(each -> !each.name.equals(name)).toList(), servers, factor);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Layout layout && epoch == layout.epoch && factor == layout.factor && servers.equals(layout.servers)
+            && former.equals(layout.former);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(epoch, servers, former, factor);
+    }
+
+    @Override
+    public String toString() {
+        return "epoch " + epoch + " of " + servers.stream().map(Server::name).toList();
+    }
+}
