Keep claims and results in the fleet: a token runs once, a repeat anywhere is answered

Need: a repeat that reaches another server ran again, and a server that was killed took what it knew along.

Where the operators' file asks for copies, a tokened run is claimed at a majority of its keepers before it begins, its end is kept by a majority before its answer leaves, and a repeat at any server is answered with it. Voters agree on who keeps what; what they promise is on disk before it is said. Entries are in memory: a keeper that comes back counts again once the others have told it. Off without `copies`; the platform's run is as before.

--- a/drill/src/main/java/ochretiller/drill/Watch.java
+++ b/drill/src/main/java/ochretiller/drill/Watch.java
@@ -19,7 +19,7 @@
 
     private final Box box;
     private final int port;
-    private final History history;
+    private volatile History history;
     private final int everyMs;
     private volatile boolean over;
     volatile Map<String, String> states = Map.of();
@@ -36,6 +36,12 @@
         thread.start();
     }
 
+    /** What is seen from here on is noted there, all of it once more. */
+    void become(History next) {
+        history = next;
+        digest = "";
+    }
+
     void end() {
         over = true;
     }
--- a/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
@@ -135,7 +135,7 @@
             if (number <= VOTERS) {
                 Set<String> names = new HashSet<>();
                 for (int i = 1; i <= Math.min(VOTERS, script.members()); i++) names.add("m" + i);
-                voter = new Voter(name, names, voterDisk, FACTOR, first);
+                voter = new Voter(name, names, voterDisk, FACTOR, first, chance.nextLong());
             }
             Layout known = voter != null ? voter.agreed() : keeperDisk != null ? keeperDisk.layout() : Layout.none(FACTOR);
             // Without its disk it knows of no epoch: the first that it is told of, it takes as one that it may have been in.
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetScript.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetScript.java
@@ -9,10 +9,11 @@
  * What is played on a fleet. Members are numbered from 1, zones too; the first members are the seeds.
  *
  * @param startS  time over which the members start
+ * @param copies  whether the fleet keeps claims and results of tokened invocations; the drill's alone
  * @param expect  what is to come out
  */
 public record FleetScript(String name, double seconds, int members, int zones, int seeds, double startS, int probeMs, double delayMs,
-                          double jitterMs, Load load, List<Incident> incidents, Expect expect) {
+                          double jitterMs, boolean copies, Load load, List<Incident> incidents, Expect expect) {
     /**
      * What callers send to all members together while it is played; the drill sends it, the emulator has no callers here.
      */
@@ -75,6 +76,6 @@
 
     /** The same with another number of members. */
     public FleetScript sized(int count) {
-        return new FleetScript(name, seconds, count, zones, seeds, startS, probeMs, delayMs, jitterMs, load, incidents, expect);
+        return new FleetScript(name, seconds, count, zones, seeds, startS, probeMs, delayMs, jitterMs, copies, load, incidents, expect);
     }
 }
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetScriptFile.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetScriptFile.java
@@ -35,7 +35,7 @@
         int members = root.path("members").asInt();
         FleetScript script = new FleetScript(root.path("name").asText(file), root.path("seconds").asDouble(), members,
             root.path("zones").asInt(1), Math.min(members, root.path("seeds").asInt(2)), root.path("start_s").asDouble(1),
-            root.path("probe_ms").asInt(100), net.path("delay_ms").asDouble(0.3), net.path("jitter_ms").asDouble(0.3),
+            root.path("probe_ms").asInt(100), net.path("delay_ms").asDouble(0.3), net.path("jitter_ms").asDouble(0.3), root.path("copies").asBoolean(false),
             new FleetScript.Load(load.path("per_second").asDouble(0), load.path("work_ms").asDouble(5)), List.copyOf(incidents),
             new FleetScript.Expect(expect.path("settled_s").asDouble(0), expect.path("false_verdicts").asInt(-1),
                 expect.path("changes_each").asInt(-1), expect.path("value_share").asDouble(0)));
--- a/src/main/java/ochretiller/fleet/copies/Keeper.java
+++ b/src/main/java/ochretiller/fleet/copies/Keeper.java
@@ -22,6 +22,8 @@
     /** Entries in a page: it fits a datagram of some kilobytes with short results. */
     static final int PAGE = 32;
     private static final LongHashFunction HASH = LongHashFunction.xx3();
+    /** Pages that are asked for in a tick: a whole fleet that comes back must not flood those that have what it lacks. */
+    private static final int FETCHES = 6;
     /** A fetch that is not answered is said again. */
     private static final Duration AGAIN = Duration.ofMillis(300);
 
@@ -168,13 +170,15 @@
     /** Fetches what is missing, in its turn; forgets what is past its window. */
     public void tick(Duration now) {
         List<Integer> done = new ArrayList<>();
+        int[] asks = {FETCHES};
         catching.forEach((range, each) -> {
             // Behind the longest window nothing that is missing can matter any more.
             if (now.compareTo(each.until) >= 0) done.add(range);
             for (String source : each.sources) {
-                if (source.equals(name) || each.whole.contains(source)) continue;
+                if (source.equals(name) || each.whole.contains(source) || asks[0] == 0) continue;
                 Duration asked = each.asked.get(source);
                 if (asked != null && now.minus(asked).compareTo(AGAIN) < 0) continue;
+                asks[0]--;
                 each.asked.put(source, now);
                 outs.add(new Out(source, new CopyMessage.Fetch(layout.epoch(), range, each.after.getOrDefault(source, ""), layout)));
             }
--- a/src/main/java/ochretiller/fleet/epochs/EpochMessage.java
+++ b/src/main/java/ochretiller/fleet/epochs/EpochMessage.java
@@ -1,5 +1,7 @@
 package ochretiller.fleet.epochs;
 
+import java.util.Map;
+
 /** What voters say to one another about the epoch {@code number}, and what all are told once it is agreed on. */
 public sealed interface EpochMessage {
     /** Will you listen to this attempt? */
@@ -29,6 +31,14 @@
     record WhatIsOpen(long nonce) implements EpochMessage {
     }
 
+    /** I am without a disk myself, under this drawn number, and know of nothing. */
+    record Blank(long nonce, long instance) implements EpochMessage {
+    }
+
+    /** Each voter has said at one time that it has nothing: nothing can have been promised. By each one's drawn number. */
+    record Fresh(Map<String, Long> instances) implements EpochMessage {
+    }
+
     /** The highest number that this voter knows of, agreed on or attempted, and the layout in force. */
     record Open(long nonce, long highest, Layout layout) implements EpochMessage {
     }
--- a/src/main/java/ochretiller/fleet/epochs/Layout.java
+++ b/src/main/java/ochretiller/fleet/epochs/Layout.java
@@ -56,6 +56,15 @@
         return servers;
     }
 
+    /** Servers of the epoch before. */
+    public List<Server> former() {
+        return former;
+    }
+
+    public int factor() {
+        return factor;
+    }
+
     /** The range that a token falls into. */
     public static int range(String token) {
         return (int) (HASH.hashChars(token) & (RANGES - 1));
--- a/src/main/java/ochretiller/fleet/epochs/Voter.java
+++ b/src/main/java/ochretiller/fleet/epochs/Voter.java
@@ -24,6 +24,9 @@
     private boolean blank;
     private long nonce;
     private final Map<String, Long> open = new HashMap<>();
+    private final Map<String, Long> blanks = new HashMap<>();
+    /** Tells this start without a disk from any other. */
+    private final long instance;
     // An attempt of its own.
     private Layout wish;
     private Ballot ballot;
@@ -53,10 +56,12 @@
     }
 
     /**
-     * @param kept  what was on its disk, or null where the disk is lost
-     * @param fresh whether the fleet has never had an epoch: then nothing can have been promised
+     * @param kept     what was on its disk, or null where the disk is lost
+     * @param fresh    whether the fleet is known never to have had an epoch: then nothing can have been promised
+     * @param instance drawn by chance at each start
      */
-    public Voter(String name, Set<String> voters, Promised kept, int factor, boolean fresh) {
+    public Voter(String name, Set<String> voters, Promised kept, int factor, boolean fresh, long instance) {
+        this.instance = instance;
         this.name = name;
         this.voters = Set.copyOf(voters);
         this.promised = kept == null ? Promised.none(factor) : kept;
@@ -95,6 +100,8 @@
     public void ask() {
         if (!blank) return;
         open.clear();
+        blanks.clear();
+        blanks.put(name, instance);
         outs.add(new Out(Optional.empty(), new EpochMessage.WhatIsOpen(++nonce)));
     }
 
@@ -131,7 +138,10 @@
             long highest = promised.ballot.equals(Ballot.NONE) && promised.accepted == null ? promised.agreed.epoch() : next();
             say(from, new EpochMessage.Open(asked.nonce(), Math.max(highest, abstainsTo), promised.agreed));
         }
+        if (message instanceof EpochMessage.WhatIsOpen asked && blank) say(from, new EpochMessage.Blank(asked.nonce(), instance));
         if (message instanceof EpochMessage.Open told) open(from, told);
+        if (message instanceof EpochMessage.Blank told) blank(from, told);
+        if (message instanceof EpochMessage.Fresh told && blank && Long.valueOf(instance).equals(told.instances().get(name))) blank = false;
         if (!voters.contains(from) || !voters.contains(name)) return;
         if (message instanceof EpochMessage.Prepare prepare) prepared(from, prepare);
         else if (message instanceof EpochMessage.Promise promise) promise(from, promise);
@@ -159,6 +169,15 @@
         promised = new Promised(promised.agreed, promised.ballot, promised.acceptedAt, promised.accepted, abstainsTo);
     }
 
+    /** Where all voters are without anything at one time there was never anything, or it is lost for good. */
+    private void blank(String from, EpochMessage.Blank told) {
+        if (!blank || told.nonce() != nonce || !voters.contains(from)) return;
+        blanks.put(from, told.instance());
+        if (blanks.size() < voters.size()) return;
+        blank = false;
+        outs.add(new Out(Optional.empty(), new EpochMessage.Fresh(Map.copyOf(blanks))));
+    }
+
     private void prepared(String from, EpochMessage.Prepare prepare) {
         if (prepare.number() <= promised.agreed.epoch()) {
             say(from, new EpochMessage.Agreed(promised.agreed));
--- a/src/main/java/ochretiller/fleet/members/Members.java
+++ b/src/main/java/ochretiller/fleet/members/Members.java
@@ -165,6 +165,19 @@
         return false;
     }
 
+    /** Where the one that bears this name and is alive is asked, or null where none is; this server's own for its own. */
+    public Address address(String name) {
+        if (name.equals(self.id().name())) return self.address();
+        for (Known known : table.all()) if (known.member.state().live() && known.member.id().name().equals(name)) return known.member.address();
+        return null;
+    }
+
+    /** Whether this start is alive and bears the name. */
+    public boolean named(String name, long start) {
+        Known known = table.get(start);
+        return known != null && known.member.state().live() && known.member.id().name().equals(name);
+    }
+
     /** All that are known, this server first, then by name. */
     public List<Seen> view() {
         List<Seen> all = new ArrayList<>();
--- a/src/main/java/ochretiller/fleet/peers/Codec.java
+++ b/src/main/java/ochretiller/fleet/peers/Codec.java
@@ -39,10 +39,15 @@
     /**
      * What was opened.
      *
+     * @param body     a {@link Message}, or one of epochs or copies
      * @param sequence grows with each packet of one start
      * @param epoch    0 where no epochs are agreed on
      */
-    public record Opened(Packet packet, long sequence, long epoch) {
+    public record Opened(Member from, Object body, long sequence, long epoch) {
+        /** As the decisions on members take it. */
+        public Packet packet() {
+            return new Packet(from, (Message) body);
+        }
     }
 
     public Codec(String fleet, FleetKeys keys) {
@@ -64,16 +69,22 @@
     }
 
     public byte[] seal(Packet packet, long sequence) {
+        return seal(packet.from(), packet.message(), sequence);
+    }
+
+    /** A packet of any kind. */
+    public byte[] seal(Member sender, Object message, long sequence) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(512);
         out.writeBytes(new byte[] {'O', 'F', VERSION, VERSION, 0, 0});
         try (CBORGenerator to = CBOR.createGenerator(out)) {
             to.writeStartArray(null, 6);
             to.writeString(fleet);
             to.writeNumber(sequence);
-            to.writeNumber(KINDS.indexOf(packet.message().getClass()) + 1);
+            to.writeNumber(message instanceof Message ? KINDS.indexOf(message.getClass()) + 1 : CopyCodec.kind(message));
             to.writeNumber(0L);
-            member(to, packet.from());
-            body(to, packet.message());
+            member(to, sender);
+            if (message instanceof Message known) body(to, known);
+            else CopyCodec.write(to, message);
             to.writeEndArray();
         } catch (IOException e) {
             throw new IllegalStateException(e); // a buffer in memory does not fail
@@ -100,8 +111,9 @@
             long kind = number(from);
             long epoch = number(from);
             Member sender = member(from);
+            if (CopyCodec.knows(kind)) return new Opened(sender, CopyCodec.read(from, (int) kind), sequence, epoch);
             if (kind < 1 || kind > KINDS.size()) throw new RefusedException(Refused.KIND);
-            return new Opened(new Packet(sender, body(from, (int) kind)), sequence, epoch);
+            return new Opened(sender, body(from, (int) kind), sequence, epoch);
         } catch (IOException | IllegalArgumentException | NullPointerException e) {
             throw new RefusedException(Refused.MALFORMED);
         }
@@ -259,11 +271,11 @@
 
     /** Reads one element of a list whose token has been read. */
     @FunctionalInterface
-    private interface Part<T> {
+    interface Part<T> {
         T read() throws IOException;
     }
 
-    private static <T> List<T> list(CBORParser from, Part<T> part) throws IOException {
+    static <T> List<T> list(CBORParser from, Part<T> part) throws IOException {
         List<T> all = new ArrayList<>();
         start(from);
         while (from.nextToken() != JsonToken.END_ARRAY) {
@@ -280,16 +292,16 @@
         to.writeEndArray();
     }
 
-    private static List<Long> numbers(CBORParser from) throws IOException {
+    static List<Long> numbers(CBORParser from) throws IOException {
         return list(from, from::getLongValue);
     }
 
-    private static void start(CBORParser from) throws IOException {
+    static void start(CBORParser from) throws IOException {
         if (from.nextToken() != JsonToken.START_ARRAY) throw new IllegalArgumentException("no array");
     }
 
     /** Over what a newer program has put behind what is known here. */
-    private static void end(CBORParser from) throws IOException {
+    static void end(CBORParser from) throws IOException {
         JsonToken token = from.nextToken();
         while (token != JsonToken.END_ARRAY) {
             if (token == null) throw new IllegalArgumentException("it ends early");
@@ -298,17 +310,17 @@
         }
     }
 
-    private static String text(CBORParser from) throws IOException {
+    static String text(CBORParser from) throws IOException {
         if (from.nextToken() != JsonToken.VALUE_STRING) throw new IllegalArgumentException("no text");
         return from.getText();
     }
 
-    private static long number(CBORParser from) throws IOException {
+    static long number(CBORParser from) throws IOException {
         if (from.nextToken() != JsonToken.VALUE_NUMBER_INT) throw new IllegalArgumentException("no number");
         return from.getLongValue();
     }
 
-    private static boolean bool(CBORParser from) throws IOException {
+    static boolean bool(CBORParser from) throws IOException {
         JsonToken token = from.nextToken();
         if (token != JsonToken.VALUE_TRUE && token != JsonToken.VALUE_FALSE) throw new IllegalArgumentException("no truth");
         return token == JsonToken.VALUE_TRUE;
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -0,0 +1,340 @@
+package ochretiller.fleet.peers;
+
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import com.fasterxml.jackson.dataformat.cbor.CBORParser;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import ochretiller.fleet.copies.ClaimId;
+import ochretiller.fleet.copies.CopyMessage;
+import ochretiller.fleet.copies.Entry;
+import ochretiller.fleet.copies.Outcome;
+import ochretiller.fleet.epochs.Ballot;
+import ochretiller.fleet.epochs.EpochMessage;
+import ochretiller.fleet.epochs.Layout;
+
+/** Bodies of what is said about epochs and tokens, kinds 16 to 47 of the envelope; {@code docs/fleet-wire.md}. */
+final class CopyCodec {
+    private static final int EPOCHS = 16;
+    private static final int COPIES = 32;
+    private static final List<Class<?>> EPOCH_KINDS = List.of(EpochMessage.Prepare.class, EpochMessage.Promise.class, EpochMessage.Accept.class,
+        EpochMessage.Accepted.class, EpochMessage.Refused.class, EpochMessage.Agreed.class, EpochMessage.WhatIsOpen.class, EpochMessage.Open.class,
+        EpochMessage.Blank.class, EpochMessage.Fresh.class);
+    private static final List<Class<?>> COPY_KINDS = List.of(CopyMessage.Claim.class, CopyMessage.Look.class, CopyMessage.Answer.class,
+        CopyMessage.Ended.class, CopyMessage.Kept.class, CopyMessage.Release.class, CopyMessage.Whether.class, CopyMessage.Fetch.class,
+        CopyMessage.Page.class, CopyMessage.Compare.class, CopyMessage.Repair.class);
+
+    private CopyCodec() {
+    }
+
+    static int kind(Object message) {
+        int epoch = EPOCH_KINDS.indexOf(message.getClass());
+        return epoch >= 0 ? EPOCHS + epoch : COPIES + COPY_KINDS.indexOf(message.getClass());
+    }
+
+    static boolean knows(long kind) {
+        return kind >= EPOCHS && kind < EPOCHS + EPOCH_KINDS.size() || kind >= COPIES && kind < COPIES + COPY_KINDS.size();
+    }
+
+    static void write(CBORGenerator to, Object message) throws IOException {
+        to.writeStartArray();
+        if (message instanceof EpochMessage.Prepare m) {
+            to.writeNumber(m.number());
+            ballot(to, m.ballot());
+        } else if (message instanceof EpochMessage.Promise m) {
+            to.writeNumber(m.number());
+            ballot(to, m.ballot());
+            ballot(to, m.acceptedAt());
+            layoutOrNone(to, m.accepted());
+        } else if (message instanceof EpochMessage.Accept m) {
+            to.writeNumber(m.number());
+            ballot(to, m.ballot());
+            layout(to, m.layout());
+        } else if (message instanceof EpochMessage.Accepted m) {
+            to.writeNumber(m.number());
+            ballot(to, m.ballot());
+        } else if (message instanceof EpochMessage.Refused m) {
+            to.writeNumber(m.number());
+            ballot(to, m.ballot());
+            ballot(to, m.promised());
+        } else if (message instanceof EpochMessage.Agreed m) {
+            layout(to, m.layout());
+        } else if (message instanceof EpochMessage.WhatIsOpen m) {
+            to.writeNumber(m.nonce());
+        } else if (message instanceof EpochMessage.Open m) {
+            to.writeNumber(m.nonce());
+            to.writeNumber(m.highest());
+            layout(to, m.layout());
+        } else if (message instanceof EpochMessage.Blank m) {
+            to.writeNumber(m.nonce());
+            to.writeNumber(m.instance());
+        } else if (message instanceof EpochMessage.Fresh m) {
+            to.writeStartArray();
+            for (Map.Entry<String, Long> each : m.instances().entrySet()) {
+                to.writeStartArray();
+                to.writeString(each.getKey());
+                to.writeNumber(each.getValue());
+                to.writeEndArray();
+            }
+            to.writeEndArray();
+        } else if (message instanceof CopyMessage.Claim m) {
+            to.writeNumber(m.epoch());
+            to.writeString(m.token());
+            id(to, m.id());
+            to.writeString(m.body());
+            to.writeNumber(m.left().toMillis());
+        } else if (message instanceof CopyMessage.Look m) {
+            to.writeNumber(m.epoch());
+            to.writeString(m.token());
+            id(to, m.id());
+        } else if (message instanceof CopyMessage.Answer m) {
+            to.writeNumber(m.epoch());
+            to.writeString(m.token());
+            id(to, m.id());
+            to.writeNumber(m.word().ordinal());
+            to.writeBoolean(m.other().isPresent());
+            if (m.other().isPresent()) id(to, m.other().get());
+            to.writeBoolean(m.outcome().isPresent());
+            if (m.outcome().isPresent()) outcome(to, m.outcome().get());
+        } else if (message instanceof CopyMessage.Ended m) {
+            to.writeNumber(m.epoch());
+            to.writeString(m.token());
+            id(to, m.id());
+            outcome(to, m.outcome());
+            to.writeNumber(m.left().toMillis());
+        } else if (message instanceof CopyMessage.Kept m) {
+            to.writeNumber(m.epoch());
+            to.writeString(m.token());
+            id(to, m.id());
+        } else if (message instanceof CopyMessage.Release m) {
+            to.writeString(m.token());
+            id(to, m.id());
+            to.writeNumber(m.left().toMillis());
+        } else if (message instanceof CopyMessage.Whether m) {
+            to.writeString(m.token());
+            id(to, m.id());
+        } else if (message instanceof CopyMessage.Fetch m) {
+            to.writeNumber(m.epoch());
+            to.writeNumber(m.range());
+            to.writeString(m.after());
+            layout(to, m.layout());
+        } else if (message instanceof CopyMessage.Page m) {
+            to.writeNumber(m.epoch());
+            to.writeNumber(m.range());
+            to.writeString(m.after());
+            items(to, m.items());
+            to.writeBoolean(m.last());
+            to.writeBoolean(m.whole());
+        } else if (message instanceof CopyMessage.Compare m) {
+            to.writeNumber(m.epoch());
+            to.writeNumber(m.range());
+            to.writeNumber(m.digest());
+        } else if (message instanceof CopyMessage.Repair m) {
+            to.writeNumber(m.range());
+            items(to, m.items());
+        }
+        to.writeEndArray();
+    }
+
+    static Object read(CBORParser in, int kind) throws IOException {
+        Codec.start(in);
+        return kind < COPIES ? epoch(in, kind - EPOCHS) : copy(in, kind - COPIES);
+    }
+
+    private static EpochMessage epoch(CBORParser in, int kind) throws IOException {
+        return switch (kind) {
+            case 0 -> new EpochMessage.Prepare(Codec.number(in), ballot(in));
+            case 1 -> new EpochMessage.Promise(Codec.number(in), ballot(in), ballot(in), layoutOrNone(in));
+            case 2 -> new EpochMessage.Accept(Codec.number(in), ballot(in), layout(in));
+            case 3 -> new EpochMessage.Accepted(Codec.number(in), ballot(in));
+            case 4 -> new EpochMessage.Refused(Codec.number(in), ballot(in), ballot(in));
+            case 5 -> new EpochMessage.Agreed(layout(in));
+            case 6 -> new EpochMessage.WhatIsOpen(Codec.number(in));
+            case 7 -> new EpochMessage.Open(Codec.number(in), Codec.number(in), layout(in));
+            case 8 -> new EpochMessage.Blank(Codec.number(in), Codec.number(in));
+            default -> {
+                Map<String, Long> instances = new HashMap<>();
+                Codec.list(in, () -> {
+                    String name = Codec.text(in);
+                    instances.put(name, Codec.number(in));
+                    Codec.end(in);
+                    return name;
+                });
+                yield new EpochMessage.Fresh(instances);
+            }
+        };
+    }
+
+    private static CopyMessage copy(CBORParser in, int kind) throws IOException {
+        return switch (kind) {
+            case 0 -> new CopyMessage.Claim(Codec.number(in), Codec.text(in), id(in), Codec.text(in), millis(in));
+            case 1 -> new CopyMessage.Look(Codec.number(in), Codec.text(in), id(in));
+            case 2 -> new CopyMessage.Answer(Codec.number(in), Codec.text(in), id(in), word(in), Codec.bool(in) ? Optional.of(id(in)) : Optional.empty(),
+                Codec.bool(in) ? Optional.of(outcome(in)) : Optional.empty());
+            case 3 -> new CopyMessage.Ended(Codec.number(in), Codec.text(in), id(in), outcome(in), millis(in));
+            case 4 -> new CopyMessage.Kept(Codec.number(in), Codec.text(in), id(in));
+            case 5 -> new CopyMessage.Release(Codec.text(in), id(in), millis(in));
+            case 6 -> new CopyMessage.Whether(Codec.text(in), id(in));
+            case 7 -> new CopyMessage.Fetch(Codec.number(in), range(in), Codec.text(in), layout(in));
+            case 8 -> new CopyMessage.Page(Codec.number(in), range(in), Codec.text(in), items(in), Codec.bool(in), Codec.bool(in));
+            case 9 -> new CopyMessage.Compare(Codec.number(in), range(in), Codec.number(in));
+            default -> new CopyMessage.Repair(range(in), items(in));
+        };
+    }
+
+    // ---- parts
+
+    private static Duration millis(CBORParser in) throws IOException {
+        return Duration.ofMillis(Math.max(0, Codec.number(in)));
+    }
+
+    private static int range(CBORParser in) throws IOException {
+        long range = Codec.number(in);
+        if (range < 0 || range >= Layout.RANGES) throw new IllegalArgumentException("no range");
+        return (int) range;
+    }
+
+    private static CopyMessage.Word word(CBORParser in) throws IOException {
+        long word = Codec.number(in);
+        if (word < 0 || word >= CopyMessage.Word.values().length) throw new IllegalArgumentException("no word");
+        return CopyMessage.Word.values()[(int) word];
+    }
+
+    private static void ballot(CBORGenerator to, Ballot ballot) throws IOException {
+        to.writeNumber(ballot.round());
+        to.writeString(ballot.voter());
+    }
+
+    private static Ballot ballot(CBORParser in) throws IOException {
+        return new Ballot(Codec.number(in), Codec.text(in));
+    }
+
+    static void layout(CBORGenerator to, Layout layout) throws IOException {
+        to.writeNumber(layout.epoch());
+        to.writeNumber(layout.factor());
+        servers(to, layout.servers());
+        servers(to, layout.former());
+    }
+
+    static Layout layout(CBORParser in) throws IOException {
+        long epoch = Codec.number(in);
+        long factor = Codec.number(in);
+        if (epoch < 0 || factor < 1 || factor > 9) throw new IllegalArgumentException("no layout");
+        return new Layout(epoch, servers(in), servers(in), (int) factor);
+    }
+
+    private static void layoutOrNone(CBORGenerator to, Layout layout) throws IOException {
+        to.writeBoolean(layout != null);
+        if (layout != null) layout(to, layout);
+    }
+
+    private static Layout layoutOrNone(CBORParser in) throws IOException {
+        return Codec.bool(in) ? layout(in) : null;
+    }
+
+    private static void servers(CBORGenerator to, List<Layout.Server> servers) throws IOException {
+        to.writeStartArray();
+        for (Layout.Server each : servers) {
+            to.writeStartArray();
+            to.writeString(each.name());
+            to.writeString(each.zone());
+            to.writeEndArray();
+        }
+        to.writeEndArray();
+    }
+
+    private static List<Layout.Server> servers(CBORParser in) throws IOException {
+        return Codec.list(in, () -> {
+            Layout.Server server = new Layout.Server(Codec.text(in), Codec.text(in));
+            Codec.end(in);
+            return server;
+        });
+    }
+
+    private static void id(CBORGenerator to, ClaimId id) throws IOException {
+        to.writeString(id.server());
+        to.writeNumber(id.start());
+        to.writeNumber(id.run());
+    }
+
+    private static ClaimId id(CBORParser in) throws IOException {
+        return new ClaimId(Codec.text(in), Codec.number(in), Codec.number(in));
+    }
+
+    private static void outcome(CBORGenerator to, Outcome outcome) throws IOException {
+        to.writeBoolean(outcome.succeeded());
+        to.writeString(outcome.body());
+        to.writeString(outcome.result());
+    }
+
+    private static Outcome outcome(CBORParser in) throws IOException {
+        return new Outcome(Codec.bool(in), Codec.text(in), Codec.text(in));
+    }
+
+    private static void items(CBORGenerator to, List<CopyMessage.Item> items) throws IOException {
+        to.writeStartArray();
+        for (CopyMessage.Item item : items) {
+            to.writeStartArray();
+            to.writeString(item.token());
+            to.writeNumber(item.left().toMillis());
+            to.writeStartArray();
+            for (Map.Entry<ClaimId, String> each : item.entry().claims().entrySet()) {
+                to.writeStartArray();
+                id(to, each.getKey());
+                to.writeString(each.getValue());
+                to.writeEndArray();
+            }
+            to.writeEndArray();
+            to.writeStartArray();
+            for (ClaimId each : item.entry().released()) {
+                to.writeStartArray();
+                id(to, each);
+                to.writeEndArray();
+            }
+            to.writeEndArray();
+            to.writeStartArray();
+            for (Map.Entry<ClaimId, Outcome> each : item.entry().outcomes().entrySet()) {
+                to.writeStartArray();
+                id(to, each.getKey());
+                outcome(to, each.getValue());
+                to.writeEndArray();
+            }
+            to.writeEndArray();
+            to.writeEndArray();
+        }
+        to.writeEndArray();
+    }
+
+    private static List<CopyMessage.Item> items(CBORParser in) throws IOException {
+        return Codec.list(in, () -> {
+            String token = Codec.text(in);
+            Duration left = millis(in);
+            Map<ClaimId, String> claims = new TreeMap<>();
+            Codec.list(in, () -> {
+                claims.put(id(in), Codec.text(in));
+                Codec.end(in);
+                return token;
+            });
+            Set<ClaimId> released = new TreeSet<>();
+            Codec.list(in, () -> {
+                released.add(id(in));
+                Codec.end(in);
+                return token;
+            });
+            Map<ClaimId, Outcome> outcomes = new TreeMap<>();
+            Codec.list(in, () -> {
+                outcomes.put(id(in), outcome(in));
+                Codec.end(in);
+                return token;
+            });
+            Codec.end(in);
+            return new CopyMessage.Item(token, new Entry(claims, released, outcomes, Duration.ZERO), left);
+        });
+    }
+}
--- a/src/main/java/ochretiller/fleet/peers/Fleet.java
+++ b/src/main/java/ochretiller/fleet/peers/Fleet.java
@@ -16,6 +16,7 @@
 import ochretiller.fleet.members.Member;
 import ochretiller.fleet.members.MemberId;
 import ochretiller.fleet.members.Members;
+import ochretiller.fleet.members.Message;
 import ochretiller.fleet.members.Seen;
 import ochretiller.fleet.members.Send;
 import ochretiller.fleet.members.State;
@@ -39,6 +40,7 @@
     private final Members members;
     private final PeerSocket socket;
     private final Door door;
+    private final Copies copies;
     private final BiConsumer<Member, Boolean> seen;
     private final Map<Address, InetSocketAddress> addresses = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
@@ -62,10 +64,11 @@
      *
      * @param serves where the server serves, unless the operators say otherwise
      * @param seen   told on the one thread of each other member that is there, or no longer is
-     * @param leave  run once the operators' command says so
+     * @param longest the longest window of a token, its client timeout among it
+     * @param leave   run once the operators' command says so
      */
     public Fleet(Schedule schedule, Network network, FleetSettings settings, String name, String build, Address serves, RandomGenerator chance,
-                 Metrics metrics, BiConsumer<Member, Boolean> seen, Runnable leave) throws IOException {
+                 Metrics metrics, Duration longest, BiConsumer<Member, Boolean> seen, Runnable leave) throws IOException {
         this.schedule = schedule;
         this.settings = settings;
         this.seen = seen;
@@ -80,6 +83,8 @@
         members = new Members(self, settings.seeds(), settings.pace(), chance, schedule.now());
         door = new Door(codec, name, words(leave));
         network.listen("fleet", settings.listen(), door::accepted);
+        copies = settings.copies() == null ? null : new Copies(schedule, settings.copies(), name, settings.zone(), start, longest, chance, metrics,
+            this::send, () -> members.view());
         changed = metrics.counter("fleet_changes_total", "Changes of state that this server has seen");
         figures(metrics);
     }
@@ -129,6 +134,7 @@
             LOG.info(() -> members.self().id() + " takes part in fleet " + settings.fleet() + " at " + members.self().address());
             tick();
             look();
+            if (copies != null) copies.start();
         });
     }
 
@@ -155,10 +161,29 @@
 
     private void taken(Codec.Opened opened) {
         if (closed) return;
+        if (!(opened.body() instanceof Message)) {
+            // Only who is in may speak of epochs and tokens: its name is what majorities are counted by.
+            if (copies != null && members.named(opened.from().id().name(), opened.from().start())) {
+                copies.received(opened.from().id().name(), opened.body());
+            }
+            return;
+        }
         members.received(opened.packet(), schedule.now());
         carryOut();
     }
 
+    /** To whoever bears this name and is in; to nobody where none is, which is a loss like any other. */
+    private void send(String name, Object message) {
+        Address to = members.address(name);
+        if (to == null) return;
+        socket.send(addresses.computeIfAbsent(to, each -> new InetSocketAddress(each.host(), each.port())), codec.seal(members.self(), message, ++sequence));
+    }
+
+    /** The copies that this fleet keeps of claims and results, or null where it keeps none. */
+    public Copies copies() {
+        return copies;
+    }
+
     private void carryOut() {
         for (Send send : members.sends()) {
             InetSocketAddress to = addresses.computeIfAbsent(send.to(), each -> new InetSocketAddress(each.host(), each.port()));
@@ -179,7 +204,11 @@
             case STATE -> {
                 if (state != State.SUSPECT) LOG.info(() -> "fleet: " + member.id() + " at " + member.address() + " is " + state);
             }
-            case TWIN -> LOG.warning("fleet: another process bears the name of this server: " + member.id() + " at " + member.address());
+            case TWIN -> {
+                // Two keepers by one name would be counted as one: this one says nothing more until its operators have seen to it.
+                if (copies != null) copies.silence();
+                LOG.warning("fleet: another process bears the name of this server: " + member.id() + " at " + member.address());
+            }
             case JOINED -> LOG.info(() -> "fleet: joined, with " + members.live() + " others");
             case REFUTED -> LOG.info("fleet: was thought to be gone, and says that it is here");
             case FORGOTTEN -> LOG.fine(() -> "fleet: " + member.id() + " is forgotten");
@@ -214,6 +243,7 @@
 
     public void close() {
         closed = true;
+        if (copies != null) copies.close();
         socket.close();
     }
 }
--- a/src/main/java/ochretiller/fleet/peers/FleetSettings.java
+++ b/src/main/java/ochretiller/fleet/peers/FleetSettings.java
@@ -14,7 +14,8 @@
  * @param advertise where peers are told to come to, if that is another address
  * @param serves    what else is told of it: where it serves
  * @param keyFile   keys that seal and open
+ * @param copies    what is kept for one another, or null
  */
 public record FleetSettings(String fleet, InetSocketAddress listen, Address advertise, Address serves, Path keyFile, List<Address> seeds,
-                            String zone, Pace pace) {
+                            String zone, Pace pace, CopySettings copies) {
 }
--- a/src/main/java/ochretiller/fleet/peers/PeerBudget.java
+++ b/src/main/java/ochretiller/fleet/peers/PeerBudget.java
@@ -9,9 +9,9 @@
  * costs a look-up and delays nobody else. Used by the reading thread alone.
  */
 final class PeerBudget {
-    /** A server sends some 14 packets a second to all others together; a comparison of views brings a hundred at once. */
-    private static final double PACKETS = 300;
-    private static final double BYTES = 400_000;
+    /** A server sends some 20 packets a second to all others together, and some more for each tokened invocation. */
+    private static final double PACKETS = 2_000;
+    private static final double BYTES = 2_000_000;
     /** What all together may send: the seals of it take a tenth of a core. */
     private static final double ALL_PACKETS = 12_000;
     /** Addresses that are told apart; a flood from more of them meets the bound on all. */
--- a/src/main/java/ochretiller/fleet/peers/PeerSocket.java
+++ b/src/main/java/ochretiller/fleet/peers/PeerSocket.java
@@ -105,7 +105,7 @@
             refuse(e.why());
             return;
         }
-        if (!window.take(opened.packet().from().start(), opened.sequence())) {
+        if (!window.take(opened.from().start(), opened.sequence())) {
             refuse(Refused.REPLAYED);
             return;
         }
--- a/src/main/java/ochretiller/node/Host.java
+++ b/src/main/java/ochretiller/node/Host.java
@@ -1,13 +1,19 @@
 package ochretiller.node;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.logging.Logger;
 import ochretiller.policy.Choice;
+import ochretiller.fleet.copies.ClaimId;
+import ochretiller.fleet.copies.Verdict;
+import ochretiller.fleet.peers.Copies;
 import ochretiller.front.Callers;
 import ochretiller.front.Failure;
 import ochretiller.front.Try;
@@ -34,6 +40,8 @@
 /** The decisions' port on the stages: what they are told, and what becomes of what they say. */
 final class Host implements Server {
     private static final Logger LOG = Logger.getLogger(Host.class.getName());
+    /** The last moment for a claim, and for word that an end is kept, before an answer is due. */
+    private static final Duration CLAIM_LEAD = Duration.ofMillis(120);
     private static final byte[] NOTHING = new byte[0];
     /** How long a repeat with another body waits to see whether its forerunner is a request at all. */
     private static final Duration DOUBT = Duration.ofSeconds(1);
@@ -50,6 +58,10 @@
     private final Records records;
     /** Null where nothing outlives a restart. */
     private final Recall recall;
+    /** Null where each server knows of its own runs alone. */
+    private final Copies copies;
+    /** Claims of the runs that were begun here, as the fleet knows them. */
+    private final Map<InvId, ClaimId> claimed = new HashMap<>();
     /** Runs of a former process whose ends are unknown, by the name that they bear on the link. */
     private final Set<String> adopted = new HashSet<>();
     private final Map<InvId, Try> tries = new HashMap<>();
@@ -63,9 +75,10 @@
      * @param shift  the decisions' time, since the processor's start, less the schedule's
      * @param workers what carries out runs of operations that have a pool, or null
      * @param recall what outlives a restart, or null
+     * @param copies what the fleet keeps of claims and results, or null
      */
     Host(Schedule schedule, Duration shift, Choice choice, Callers callers, Health health, Keys keys, Link link,
-         Workers workers, Records records, Recall recall) {
+         Workers workers, Records records, Recall recall, Copies copies) {
         this.schedule = schedule;
         this.shift = shift;
         this.choice = choice;
@@ -76,6 +89,7 @@
         this.workers = workers;
         this.records = records;
         this.recall = recall;
+        this.copies = copies;
     }
 
     void start() {
@@ -192,15 +206,82 @@
         inv.runs(true);
         boolean pooled = pool(inv.operation) != null;
         if (pooled) workers.expect(inv.operation.name(), 1);
-        if (recall == null) begin(inv, then);
-        else recall.mark(inv, () -> begin(inv, then), () -> {
+        Runnable not = () -> {
             if (pooled) workers.expect(inv.operation.name(), -1);
             inv.runs(false);
             then.apply(new RunEnd(RunEnd.Result.NOT_BEGUN, Duration.ZERO)).act(this);
             settle(inv);
+        };
+        if (copies != null && inv.operation.tokened()) claim(inv, () -> mark(inv, then, not), not);
+        else mark(inv, then, not);
+    }
+
+    private void mark(Try inv, Function<RunEnd, Step> then, Runnable not) {
+        if (recall == null) begin(inv, then);
+        else recall.mark(inv, () -> begin(inv, then), () -> {
+            if (copies != null) neverRan(inv);
+            not.run();
         });
     }
 
+    // ---- what the fleet knows of a token
+
+    private static String body(Try inv) {
+        return inv.operation.name() + ' ' + HexFormat.of().formatHex(Keys.hash(inv.body));
+    }
+
+    private Duration due(Try inv) {
+        return inv.arrived.plus(inv.operation.clientTimeout()).minus(CLAIM_LEAD);
+    }
+
+    private static Duration windowEnds(Try inv) {
+        return inv.arrived.plus(inv.operation.window());
+    }
+
+    /** Runs one of the two; a repeat that the fleet has an answer for is answered here. */
+    private void claim(Try inv, Runnable granted, Runnable not) {
+        copies.claim(inv.token, body(inv), due(inv), windowEnds(inv), verdict -> schedule.post(() -> {
+            if (verdict.what() == Verdict.What.RUN) {
+                claimed.put(inv.id, verdict.claim());
+                // Looked at last: whose caller has its answer, or who slept meanwhile, begins nothing.
+                if (!inv.answered() && schedule.now().compareTo(due(inv)) < 0) {
+                    granted.run();
+                    return;
+                }
+                neverRan(inv);
+            } else if (verdict.what() == Verdict.What.REPLAY) {
+                callers.succeed(inv, verdict.outcome().result().getBytes(StandardCharsets.ISO_8859_1), true);
+            } else if (verdict.what() != Verdict.What.THROTTLED) {
+                callers.fail(inv, switch (verdict.what()) {
+                    case OTHER_BODY -> Failure.OTHER_BODY;
+                    case ENDED -> Failure.FAILED;
+                    default -> Failure.UNKNOWN_END;
+                });
+            }
+            not.run();
+        }));
+    }
+
+    private void neverRan(Try inv) {
+        ClaimId claim = claimed.remove(inv.id);
+        if (claim != null) copies.neverRan(claim, windowEnds(inv));
+    }
+
+    /** The fleet hears of the end of a claimed run; {@code then} is told, by the due time, whether it is kept there. */
+    private void copied(Try inv, RunEnd.Result end, byte[] result, Consumer<Boolean> then) {
+        ClaimId claim = claimed.remove(inv.id);
+        if (claim == null) {
+            then.accept(true);
+        } else if (end == RunEnd.Result.NOTHING || end == RunEnd.Result.NOT_BEGUN) {
+            copies.neverRan(claim, windowEnds(inv));
+            then.accept(true);
+        } else {
+            boolean good = end == RunEnd.Result.SUCCEEDED;
+            copies.ended(claim, body(inv), good ? result : null, due(inv), windowEnds(inv), good ? then : kept -> { });
+            if (!good) then.accept(true); // there is no result that could be lost
+        }
+    }
+
     private void begin(Try inv, Function<RunEnd, Step> then) {
         InvId id = inv.id;
         Task task = new Task(inv.rid, inv.operation.name(), inv.body, inv.operation.idempotent(), inv.token,
@@ -218,8 +299,13 @@
                 }
                 if (told[0]) settle(inv);
             };
-            if (recall == null) answer.run();
-            else recall.ended(inv, end, result, answer);
+            Runnable kept = copies == null ? answer : () -> copied(inv, end, result, good -> {
+                // Nothing is answered as succeeded that a repeat elsewhere might not find.
+                if (!good) callers.fail(inv, Failure.UNKNOWN_END);
+                answer.run();
+            });
+            if (recall == null) kept.run();
+            else recall.ended(inv, end, result, kept);
             // The decisions hear of it at once, though its answer may still wait for the disk: the core is free.
             then.apply(new RunEnd(end, took)).act(this);
             told[0] = true;
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -122,8 +122,7 @@
         workers = operator.pools().isEmpty() ? null : new Workers(loop, network, plans(operator, configuration),
             new SplittableRandom(configuration.seed() + 1).split(), metrics);
         if (operator.remember().isPresent()) {
-            Duration longest = configuration.operations().values().stream().filter(Operation::tokened)
-                .map(each -> each.window().plus(each.clientTimeout().multipliedBy(2))).max(Duration::compareTo).orElse(LOOK);
+            Duration longest = longest();
             recall = new Recall(loop, operator.remember().get(), disk, longest.plus(SLACK),
                 new SplittableRandom(configuration.seed()).split(), metrics);
         } else {
@@ -132,11 +131,20 @@
         fleet = operator.fleet().isEmpty() ? null : fleet(operator.fleet().get());
     }
 
+    /** No mark lives longer: the longest window of an operation and its client timeout, once for each end. */
+    private Duration longest() {
+        return configuration.operations().values().stream().filter(Operation::tokened)
+            .map(each -> each.window().plus(each.clientTimeout().multipliedBy(2))).max(Duration::compareTo).orElse(LOOK);
+    }
+
     private Fleet fleet(FleetSettings told) throws IOException {
+        if (told.copies() != null && told.copies().voters().contains(configuration.name()) && told.copies().voterFile() == null) {
+            throw new MalformedException("fleet: " + configuration.name() + " is a voter and needs voter_file");
+        }
         String build = Node.class.getPackage().getImplementationVersion();
         InetSocketAddress at = operator.uwsgi().map(Operator.Uwsgi::listen).orElse(configuration.listen());
         return new Fleet(loop, network, told, configuration.name(), build == null ? "unpackaged" : build,
-            new Address(at.getAddress().getHostAddress(), at.getPort()), new SplittableRandom(configuration.seed() + 2), metrics,
+            new Address(at.getAddress().getHostAddress(), at.getPort()), new SplittableRandom(configuration.seed() + 2), metrics, longest(),
             (member, there) -> {
                 if (workers != null && member.serves() != null) workers.seen(member.serves().toString(), there);
             }, () -> new Thread(() -> System.exit(0), "leave").start()); // the hook that a signal would run drains
@@ -239,7 +247,8 @@
         Choice choice = Settings.choice(configuration.settings(), new SplittableRandom(configuration.seed()), cold);
         Keys keys = new Keys(memory() / KEYS_PART,
             configuration.settings().span("familyInfo.freshNs", Duration.ZERO));
-        host = new Host(loop, age.minus(loop.now()), choice, callers, health, keys, link, workers, records, recall);
+        host = new Host(loop, age.minus(loop.now()), choice, callers, health, keys, link, workers, records, recall,
+            fleet == null ? null : fleet.copies());
         host.start();
         if (recall != null) host.restore(configuration.operations(), age);
         if (leaving) host.leave(Duration.ZERO);
--- a/src/main/java/ochretiller/operator/OperatorFile.java
+++ b/src/main/java/ochretiller/operator/OperatorFile.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import ochretiller.fleet.members.Address;
 import ochretiller.fleet.members.Pace;
+import ochretiller.fleet.peers.CopySettings;
 import ochretiller.fleet.peers.FleetSettings;
 import ochretiller.json5.Json5;
 import ochretiller.pools.PoolSettings;
@@ -86,7 +87,15 @@
         return new FleetSettings(node.get("name").asText(), address(node.get("listen").asText()), node.has("advertise") ? fleetAddress(node.get("advertise")) : null,
             node.has("serves") ? fleetAddress(node.get("serves")) : null, Path.of(node.get("key_file").asText()), List.copyOf(seeds), node.path("zone").asText(""),
             new Pace(millis(node, "probe_ms", usual.probe().toMillis()), Duration.ofSeconds(node.path("forget_s").asLong(usual.forget().toSeconds())),
-                node.path("most_gone").asInt(usual.mostGone())));
+                node.path("most_gone").asInt(usual.mostGone())), node.has("copies") ? copies(node.get("copies")) : null);
+    }
+
+    private static CopySettings copies(JsonNode node) {
+        List<String> voters = new ArrayList<>();
+        node.get("voters").forEach(each -> voters.add(each.asText()));
+        if (new HashSet<>(voters).size() < voters.size()) throw new MalformedException("fleet: a voter is named twice");
+        return new CopySettings(List.copyOf(voters), node.has("voter_file") ? Path.of(node.get("voter_file").asText()) : null, node.path("factor").asInt(3),
+            node.path("most_entries").asInt(20_000), millis(node, "calm_ms", 5_000));
     }
 
     private static Address fleetAddress(JsonNode node) {
