--- a/emulator/src/test/java/ochretiller/emulator/FleetTest.java
+++ b/emulator/src/test/java/ochretiller/emulator/FleetTest.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.Stream;
+import ochretiller.emulator.fleet.ClaimsModel;
+import ochretiller.emulator.fleet.CopiesWorld;
 import ochretiller.emulator.fleet.Drawn;
 import ochretiller.emulator.fleet.Explore;
 import ochretiller.emulator.fleet.FleetOutcome;
@@ -75,6 +77,25 @@
         assertThat(new Explore(() -> new MembersModel(3, 1, true)).explore(3, 10_000, line -> { }).broken()).contains("does not settle");
     }
 
+    @Test
+    void noTokenIsRunTwiceInDrawnSchedulesWithCopies() {
+        int replayed = 0;
+        for (long seed = 1; seed <= 16; seed++) {
+            CopiesWorld.Outcomes outcome = new CopiesWorld(Drawn.copies(seed), seed, seed % 3 * 0.4, true).play(60, 25);
+            assertThat(outcome.broken).as("seed " + seed).isEmpty();
+            assertThat(outcome.conflicts).as("seed " + seed).isZero();
+            replayed += outcome.replayed;
+        }
+        assertThat(replayed).isPositive();
+        assertThat(new CopiesWorld(Drawn.copies(1), 1, 0, false).play(60, 25).broken).as("each server for itself").anyMatch(line -> line.contains("run again"));
+    }
+
+    @Test
+    void claimsAreExploredAndKeepersThatForgetAreFound() throws Exception {
+        assertThat(new Explore(() -> new ClaimsModel(1, false)).explore(3, 100_000, line -> { }).broken()).isNull();
+        assertThat(new Explore(() -> new ClaimsModel(1, true)).explore(3, 100_000, line -> { }).broken()).isNotNull();
+    }
+
     @Test
     void aScriptThatCannotBePlayedIsToldSo() {
         assertThatThrownBy(() -> FleetScriptFile.of("{ seconds: 5, members: 3, incidents: [ { at_s: 1, for_s: 9, what: 'cut', who: '1' } ] }", "s"))
--- a/src/main/java/ochretiller/fleet/members/Members.java
+++ b/src/main/java/ochretiller/fleet/members/Members.java
@@ -345,14 +345,14 @@
     }
 
     private void ping(Probe probe) {
-        send(probe.address, new Message.Ping(probe.nonce, probe.target, news(probe.target), digest()));
+        send(probe.address, new Message.Ping(probe.nonce, probe.target, news(probe.target, false), digest()));
     }
 
     /** News for this member; what is thought ill of it comes first, so that it can answer. */
-    private Message.News news(long to) {
+    private Message.News news(long to, boolean agree) {
         Known known = table.get(to);
         boolean ill = known != null && (known.member.state() == State.SUSPECT || known.member.state() == State.SILENT);
-        return rumours.take(table, self, pace.carried(table.live() + 1), ill ? Rumours.entry(known.member, known) : null);
+        return rumours.take(table, self, pace.carried(table.live() + 1), agree, ill ? Rumours.entry(known.member, known) : null);
     }
 
     private void send(Address to, Message message) {
@@ -532,7 +532,7 @@
         boolean trusted = known != null && known.member.state().live();
         if (message instanceof Message.Ping ping) {
             news(ping.news(), trusted);
-            send(from.address(), new Message.Ack(ping.nonce(), news(from.start()), digest()));
+            send(from.address(), new Message.Ack(ping.nonce(), news(from.start(), ping.digest() == digest()), digest()));
             compare(from, ping.digest(), trusted);
         } else if (message instanceof Message.Ack ack) {
             news(ack.news(), trusted);
--- a/src/main/java/ochretiller/fleet/members/Rumours.java
+++ b/src/main/java/ochretiller/fleet/members/Rumours.java
@@ -37,9 +37,10 @@
      * News for one message.
      *
      * @param most  how often each is carried
+     * @param agree whether the receiver has just shown the same digest: it knows who is there, and needs to hear of suspicion only
      * @param first an entry that goes out in any case, or null
      */
-    Message.News take(Table table, Member self, int most, Entry first) {
+    Message.News take(Table table, Member self, int most, boolean agree, Entry first) {
         List<Entry> entries = new ArrayList<>();
         List<Member> full = new ArrayList<>();
         if (first != null) entries.add(first);
@@ -53,6 +54,10 @@
                 all.remove(each.start);
                 continue;
             }
+            if (agree && member.state() != State.SUSPECT) {
+                if (++each.carried >= most) all.remove(each.start);
+                continue;
+            }
             if (each.full) {
                 if (full.size() == Message.FULL) continue;
                 full.add(member);
