Reckon spans of claims and members by the sums that all parts share

Need: Members had a least of two spans and Claims a rest of a span of their own; spans has both.

Change: they call Spans; a question whether a claim runs is looked up once. Behaviour is as before; the tests of members, copies, epochs, codec and architecture pass unchanged.

--- a/src/main/java/ochretiller/fleet/copies/Claims.java
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -1,5 +1,8 @@
 package ochretiller.fleet.copies;
 
+import static ochretiller.spans.Spans.min;
+import static ochretiller.spans.Spans.until;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -142,11 +145,6 @@
         outs.add(new Keeper.Out(to, message));
     }
 
-    private static Duration left(Duration until, Duration now) {
-        Duration left = until.minus(now);
-        return left.isNegative() ? Duration.ZERO : left;
-    }
-
     /**
      * Asks the keepers whether this may run here.
      *
@@ -183,7 +181,7 @@
             if (attempt.answers.containsKey(keeper)) continue;
             limit.asked(keeper);
             send(keeper, attempt.claims
-                ? new CopyMessage.Claim(layout.epoch(), attempt.token, attempt.id, attempt.body, left(attempt.windowEnds, now))
+                ? new CopyMessage.Claim(layout.epoch(), attempt.token, attempt.id, attempt.body, until(attempt.windowEnds, now))
                 : new CopyMessage.Look(layout.epoch(), attempt.token, attempt.id));
         }
     }
@@ -192,7 +190,7 @@
     private void release(Attempt attempt, Duration now) {
         if (!attempt.claims) return;
         releasedIds.put(attempt.id, attempt.windowEnds);
-        for (String keeper : keepers(attempt.token)) send(keeper, new CopyMessage.Release(attempt.token, attempt.id, left(attempt.windowEnds, now)));
+        for (String keeper : keepers(attempt.token)) send(keeper, new CopyMessage.Release(attempt.token, attempt.id, until(attempt.windowEnds, now)));
     }
 
     private void end(Attempt attempt, Verdict.What what, Outcome outcome, boolean timely) {
@@ -217,10 +215,10 @@
             if (ending.kept.size() >= Layout.majority(keepers(ending.token).size())) answer(ending, true);
             if (ending.kept.size() == keepers(ending.token).size()) endings.remove(kept.id());
         } else if (message instanceof CopyMessage.Whether whether) {
-            Duration until = releasedIds.get(whether.id());
-            if (until != null) send(from, new CopyMessage.Release(whether.token(), whether.id(), left(until, now)));
-            if (until == null) return;
-            for (String keeper : keepers(whether.token())) send(keeper, new CopyMessage.Release(whether.token(), whether.id(), left(until, now)));
+            Duration ends = releasedIds.get(whether.id());
+            if (ends == null) return;
+            send(from, new CopyMessage.Release(whether.token(), whether.id(), until(ends, now)));
+            for (String keeper : keepers(whether.token())) send(keeper, new CopyMessage.Release(whether.token(), whether.id(), until(ends, now)));
         }
     }
 
@@ -287,7 +285,7 @@
     private void later(Attempt attempt, Duration now) {
         long nanos = attempt.pause.toNanos();
         attempt.nextLook = now.plusNanos(nanos / 2 + (long) (nanos * chance.nextDouble()));
-        attempt.pause = attempt.pause.multipliedBy(2).compareTo(LOOK_MOST) > 0 ? LOOK_MOST : attempt.pause.multipliedBy(2);
+        attempt.pause = min(attempt.pause.multipliedBy(2), LOOK_MOST);
     }
 
     private void done(Attempt attempt, Outcome outcome, Duration now) {
@@ -301,7 +299,7 @@
         String token = running.remove(id);
         if (token == null) return;
         releasedIds.put(id, windowEnds);
-        for (String keeper : keepers(token)) send(keeper, new CopyMessage.Release(token, id, left(windowEnds, now)));
+        for (String keeper : keepers(token)) send(keeper, new CopyMessage.Release(token, id, until(windowEnds, now)));
     }
 
     /**
@@ -326,7 +324,7 @@
         for (String keeper : keepers(ending.token)) {
             if (ending.kept.contains(keeper)) continue;
             limit.asked(keeper);
-            send(keeper, new CopyMessage.Ended(layout.epoch(), ending.token, id, ending.outcome, left(ending.windowEnds, now)));
+            send(keeper, new CopyMessage.Ended(layout.epoch(), ending.token, id, ending.outcome, until(ending.windowEnds, now)));
         }
     }
 
--- a/src/main/java/ochretiller/fleet/members/Members.java
+++ b/src/main/java/ochretiller/fleet/members/Members.java
@@ -1,5 +1,7 @@
 package ochretiller.fleet.members;
 
+import static ochretiller.spans.Spans.min;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -418,10 +420,6 @@
         nextSeed = awake.plus(seedPause.dividedBy(2)).plus(spread(seedPause));
     }
 
-    private static Duration min(Duration a, Duration b) {
-        return a.compareTo(b) < 0 ? a : b;
-    }
-
     // ---- what is thought
 
     private void become(Known known, State state, long number) {
