--- a/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
+++ b/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
@@ -100,11 +100,13 @@
         description = "Keyed invocations and their repeats anywhere in a fleet that keeps claims for one another; scripts drawn by chance.")
     int copies(@Option(names = "--seed", defaultValue = "1") long seed, @Option(names = "--seeds", defaultValue = "200") int seeds,
                @Option(names = "--tokens", defaultValue = "150") int tokens,
+               @Option(names = "--old-disks", defaultValue = "0.3", description = "Share of starts in every other schedule that find an old image of their disk.") double oldDisks,
+               @Option(names = "--trace", paramLabel = "TOKEN", description = "Print all that is said of this token; with one seed.") String trace,
                @Option(names = "--server-mode", description = "Each server for itself, as without a fleet.") boolean alone) throws Exception {
         List<Callable<CopiesWorld.Outcomes>> runs = new ArrayList<>();
         for (int i = 0; i < seeds; i++) {
             long each = seed + i;
-            runs.add(() -> new CopiesWorld(Drawn.copies(each), each, each % 3 * 0.4, !alone).play(tokens, 25));
+            runs.add(() -> new CopiesWorld(Drawn.copies(each), each, each % 3 * 0.4, each / 3 % 2 * oldDisks, each % 4 == 0, !alone).trace(trace).play(tokens, 25));
         }
         CopiesWorld.Outcomes all = new CopiesWorld.Outcomes();
         int broken = 0;
@@ -120,6 +122,10 @@
             all.unanswered += one.unanswered;
             all.runs += one.runs;
             all.conflicts += one.conflicts;
+            all.oldFound += one.oldFound;
+            all.excused += one.excused;
+            all.oldPutBack += one.oldPutBack;
+            all.unsaid += one.unsaid;
             all.messages += one.messages;
             all.epochs = Math.max(all.epochs, one.epochs);
             all.claimMs.addAll(one.claimMs);
@@ -129,8 +135,8 @@
             number++;
         }
         System.out.printf(Locale.ROOT, "%d schedules, %d broken: tries %d, succeeded %d (%d of them replays), throttled %d, errored %d, other body %d, "
-            + "unanswered %d; runs %d, conflicts %d, epochs up to %d, claim to majority p50 %.1f p99 %.1f ms%n", seeds, broken, all.tries, all.succeeded,
-            all.replayed, all.throttled, all.errored, all.otherBody, all.unanswered, all.runs, all.conflicts, all.epochs, all.claimMs(50), all.claimMs(99));
+            + "unanswered %d; runs %d, conflicts %d, epochs up to %d, claim to majority p50 %.1f p99 %.1f ms; old disks put back %d, servers that found one %d, words unsaid %d; second runs where a majority lost its disks %d%n", seeds, broken, all.tries, all.succeeded,
+            all.replayed, all.throttled, all.errored, all.otherBody, all.unanswered, all.runs, all.conflicts, all.epochs, all.claimMs(50), all.claimMs(99), all.oldPutBack, all.oldFound, all.unsaid, all.excused);
         return broken == 0 ? 0 : MISSED;
     }
 
--- a/emulator/src/main/java/ochretiller/emulator/fleet/ClaimsModel.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/ClaimsModel.java
@@ -59,7 +59,7 @@
     public ClaimsModel(int crashes, boolean planted) {
         this.crashes = crashes;
         this.planted = planted;
-        for (int i = 0; i < KEEPERS; i++) keepers[i] = new Keeper("k" + i, new Keeper.Disk(FIRST, Map.of(), Set.of(), Set.of()), FIRST, 100, WINDOW, Duration.ZERO);
+        for (int i = 0; i < KEEPERS; i++) keepers[i] = new Keeper("k" + i, new Keeper.Disk(FIRST, Map.of()), FIRST, 100, WINDOW, Duration.ZERO);
         for (int i = 0; i < clocks.length; i++) clocks[i] = Duration.ZERO;
         for (int i = 0; i < SERVERS; i++) {
             int server = i;
@@ -125,7 +125,7 @@
         Verdict verdict = running.set(server, null);
         String result = "by s" + server;
         results.add(result);
-        servers[server].ended(verdict.claim(), new Outcome(true, "body", result), DUE, WINDOW, clocks[server], kept -> verdicts.set(server, "ENDED " + kept));
+        servers[server].ended(verdict.claim(), new Outcome(true, "body", result), null, DUE, WINDOW, clocks[server], kept -> verdicts.set(server, "ENDED " + kept));
         take(server);
     }
 
@@ -164,7 +164,7 @@
             if (crashed == crashes) return false;
             crashed++;
             Layout layout = keepers[rest].layout();
-            Keeper.Disk kept = planted ? new Keeper.Disk(layout, Map.of(), Set.of(), Set.of()) : null;
+            Keeper.Disk kept = planted ? new Keeper.Disk(layout, Map.of()) : null;
             keepers[rest] = new Keeper("k" + rest, kept, layout, 100, WINDOW, clocks[SERVERS + rest]);
             return true;
         }
--- a/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
@@ -16,9 +16,12 @@
 import ochretiller.emulator.core.Events;
 import ochretiller.emulator.core.Seeds;
 import ochretiller.fleet.copies.Claims;
+import ochretiller.fleet.copies.Commit;
 import ochretiller.fleet.copies.CopyMessage;
+import ochretiller.fleet.copies.Entry;
 import ochretiller.fleet.copies.Keeper;
 import ochretiller.fleet.copies.Outcome;
+import ochretiller.fleet.copies.Pieces;
 import ochretiller.fleet.copies.Verdict;
 import ochretiller.fleet.epochs.EpochMessage;
 import ochretiller.fleet.epochs.Layout;
@@ -43,6 +46,16 @@
     private static final double SEES_S = 1.5;
     /** A socket's room for a paused process. */
     private static final int ROOM = 5_000;
+    /** A force of the disk, seconds, at least and by chance on top; and how long one that has failed stays so. */
+    private static final double FORCE_S = 0.0005;
+    private static final double FORCE_MORE_S = 0.002;
+    private static final double SICK_S = 4;
+    /** Images of disks are taken this often, and so many are kept: some of them are put back. */
+    private static final double IMAGES_S = 3;
+    private static final int IMAGES = 4;
+    /** Every so many tokens have a result that goes by pieces. */
+    private static final int LONG_RESULTS = 8;
+    private static final Keeper.Bounds BOUNDS = new Keeper.Bounds(MOST, Long.MAX_VALUE, 2 << 20, WINDOW.plusSeconds(10));
 
     private final FleetScript script;
     private final Plan plan;
@@ -51,6 +64,8 @@
     private final SplittableRandom links;
     private final SplittableRandom chance;
     private final double lostDisks;
+    private final double oldDisks;
+    private final boolean sickDisks;
     private final boolean claims;
     private final Map<Integer, Host> hosts = new TreeMap<>();
     private final Map<String, Token> tokens = new HashMap<>();
@@ -70,6 +85,12 @@
         public int behind;
         public long messages;
         public int conflicts;
+        public int oldFound;
+        /** Second runs of tokens whose keepers, a majority of them, had lost their disks. */
+        public int excused;
+        public int oldPutBack;
+        public long unsaid;
+        public long fetchedBytes;
         /** Milliseconds from a claim to its majority. */
         public final List<Double> claimMs = new ArrayList<>();
         public final List<String> broken = new ArrayList<>();
@@ -84,6 +105,8 @@
     private static final class Token {
         final String body;
         final List<Double> ranAt = new ArrayList<>();
+        /** Who kept it as it ran, as the server that ran it knew. */
+        final List<List<String>> keptBy = new ArrayList<>();
         final Set<String> results = new HashSet<>();
 
         Token(String body) {
@@ -94,12 +117,41 @@
     private record Sent(String from, Object message) {
     }
 
+    /** What of a keeper is on its disk. */
+    private record Image(Keeper.Disk place, Map<String, Long> heard, Map<String, Entry> entries, Map<String, Long> numbers, Map<String, String> results) {
+        static Image none() {
+            return new Image(null, Map.of(), new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
+        }
+
+        Image copy(Keeper.Disk now) {
+            return new Image(now, heard, new TreeMap<>(entries), new TreeMap<>(numbers), new TreeMap<>(results));
+        }
+
+        /** As a start reads it. */
+        Keeper.Disk disk(Duration now) {
+            if (place == null) return null;
+            Map<String, Entry> live = new TreeMap<>();
+            entries.forEach((token, entry) -> {
+                if (entry.until().compareTo(now) > 0) live.put(token, entry);
+            });
+            long number = Math.max(place.number(), numbers.values().stream().mapToLong(Long::longValue).max().orElse(0));
+            return new Keeper.Disk(place.layout(), live, place.behind(), place.forgot(), place.lost(), number, true);
+        }
+    }
+
     private final class Host {
         final int number;
         final String name;
         final Layout.Server server;
         Keeper keeper;
-        Keeper.Disk keeperDisk;
+        Image disk = Image.none();
+        Commit commit;
+        final Deque<Image> images = new ArrayDeque<>();
+        double imagedS;
+        double sickUntilS;
+        double forcedS;
+        double placedS;
+        final List<Double> lostS = new ArrayList<>();
         Voter voter;
         Voter.Promised voterDisk;
         Claims own;
@@ -129,31 +181,104 @@
             boolean first = !everUp;
             everUp = true;
             if (!keepsDisk) {
-                keeperDisk = null;
+                lostS.add(events.seconds());
+                disk = Image.none();
+                images.clear();
                 voterDisk = null;
+            } else if (!first && !images.isEmpty() && chance.nextDouble() < oldDisks) {
+                List<Image> all = new ArrayList<>(images);
+                disk = all.get(chance.nextInt(all.size()));
+                disk = disk.copy(disk.place);
+                outcomes.oldPutBack++;
             }
             if (number <= VOTERS) {
                 Set<String> names = new HashSet<>();
                 for (int i = 1; i <= Math.min(VOTERS, script.members()); i++) names.add("m" + i);
                 voter = new Voter(name, names, voterDisk, FACTOR, first, chance.nextLong());
             }
-            Layout known = voter != null ? voter.agreed() : keeperDisk != null ? keeperDisk.layout() : Layout.none(FACTOR);
+            Keeper.Disk found = disk.disk(events.now());
+            Layout known = found != null ? found.layout() : voter != null ? voter.agreed() : Layout.none(FACTOR);
             // Without its disk it knows of no epoch: the first that it is told of, it takes as one that it may have been in.
-            keeper = keeperDisk == null && !first ? null : new Keeper(name, keeperDisk, known, MOST, WINDOW.plusSeconds(10), events.now());
+            keeper = found != null ? new Keeper(name, found, null, BOUNDS, 0, events.now()) : first ? new Keeper(name, null, known, BOUNDS, 1, events.now()) : null;
+            commit = new Commit(chance.split());
+            if (sickDisks && chance.nextInt(6) == 0) sickUntilS = events.seconds() + 30 * chance.nextDouble() + SICK_S;
             own = new Claims(name, life, known, chance.split());
+            own.remember(disk.heard);
             wish = new Wish(CALM, FACTOR);
+            if (voter != null && known.epoch() > 0) voter.received(name, new EpochMessage.Agreed(known));
             tick(life);
             speak(life);
         }
 
-        /** What was decided was on disk before it was said: the disk is as the decisions are at the end. */
+        /** What was written and not acknowledged may be there or not: the disk takes some of it, in its order. */
         void end() {
-            keeperDisk = keeper == null ? null : keeper.disk();
+            for (Runnable each : underWay) {
+                if (chance.nextInt(2) == 0) break;
+                each.run();
+            }
+            underWay.clear();
             voterDisk = voter == null || voter.blank() ? null : voter.promised();
             up = false;
             changedS = events.seconds();
         }
 
+        private final Deque<Runnable> underWay = new ArrayDeque<>();
+
+        private boolean sick() {
+            return events.seconds() < sickUntilS && events.seconds() > sickUntilS - SICK_S;
+        }
+
+        /** One write at a time: a force takes a while, and may fail. */
+        private void force(long mine, Runnable written, java.util.function.Consumer<Boolean> then) {
+            double at = Math.max(events.seconds(), forcedS) + FORCE_S + FORCE_MORE_S * chance.nextDouble();
+            if (forcedS > events.seconds()) at = forcedS; // it goes out with the force that is under way
+            forcedS = at;
+            underWay.add(written);
+            events.after(at - events.seconds(), () -> {
+                if (life != mine || !up) return;
+                underWay.remove(written);
+                if (sick()) {
+                    if (chance.nextInt(2) == 0) written.run();
+                    then.accept(false);
+                } else {
+                    written.run();
+                    then.accept(true);
+                }
+            });
+        }
+
+        private void write(Commit.Write write) {
+            Keeper of = keeper;
+            Image image = disk;
+            long mine = life;
+            String token = write.token();
+            Keeper.Disk place = token == null ? of.place() : null;
+            Entry entry = token == null ? null : of.entry(token);
+            Map<String, Long> heard = token == null ? own.heard() : Map.of();
+            long numbered = token == null ? 0 : of.number(token);
+            force(mine, () -> {
+                if (token == null) {
+                    disk = new Image(place, heard, image.entries, image.numbers, image.results);
+                } else {
+                    disk.entries.put(token, entry);
+                    disk.numbers.put(token, numbered);
+                }
+            }, durable -> {
+                for (Keeper.Out out : commit.acked(write, durable, events.now())) send(number(out.to()), out.message());
+            });
+        }
+
+        private void keep() {
+            for (Pieces.Whole whole : keeper.wholes()) {
+                long mine = life;
+                force(mine, () -> disk.results.put(whole.token() + whole.id(), whole.result()), durable -> {
+                    if (!durable) return;
+                    keeper.shelved(whole);
+                    carryOut();
+                });
+            }
+        }
+
         private void tick(long mine) {
             if (!up || life != mine) return;
             if (!paused) {
@@ -161,7 +286,14 @@
                 own.tick(now);
                 if (keeper != null) {
                     keeper.tick(now);
-                    if (chance.nextInt(50) == 0) keeper.compare(chance);
+                    if (chance.nextInt(25) == 0) keeper.compare(chance);
+                    if (chance.nextInt(25) == 0) keeper.there(seen());
+                    commit.tick(now).forEach(this::write);
+                    if (events.seconds() - imagedS > IMAGES_S) {
+                        imagedS = events.seconds();
+                        images.add(disk.copy(disk.place));
+                        if (images.size() > IMAGES) images.poll();
+                    }
                     outcomes.behind = Math.max(outcomes.behind, keeper.behind());
                 }
                 if (voter != null) vote(now);
@@ -170,6 +302,12 @@
             events.after(TICK.plus(Duration.ofNanos((long) (faults.lateMs(number, played()) * 1e6))), () -> tick(mine));
         }
 
+        private Set<String> seen() {
+            Set<String> live = new HashSet<>();
+            for (Host each : hosts.values()) if (each.up && !each.paused) live.add(each.name);
+            return live;
+        }
+
         private void vote(Duration now) {
             if (voter.blank()) {
                 if (chance.nextInt(10) == 0) voter.ask();
@@ -202,6 +340,10 @@
 
         void take(Sent sent) {
             if (!up) return;
+            if (traced != null && sent.message.toString().contains("token=" + traced + ",")) {
+                System.out.printf(Locale.ROOT, "%9.4f %s -> %s%s (epoch %d): %s%n", played(), sent.from, name, paused ? " (paused)" : "",
+                    keeper == null ? 0 : keeper.layout().epoch(), sent.message);
+            }
             if (paused) {
                 if (waits.size() < ROOM) waits.add(sent);
                 return;
@@ -210,8 +352,17 @@
             if (sent.message instanceof EpochMessage message) {
                 if (voter != null) voter.received(sent.from, message);
                 if (message instanceof EpochMessage.Agreed agreed) learn(agreed.layout());
+                long mine = own.layout().epoch();
+                boolean asks = message instanceof EpochMessage.WhatIsOpen || message instanceof EpochMessage.Agreed agreed && agreed.layout().epoch() < mine;
+                if (asks && mine > 0 && number(sent.from) <= VOTERS && !sent.from.equals(name)) send(number(sent.from), new EpochMessage.Agreed(own.layout()));
             } else if (sent.message instanceof CopyMessage message) {
-                if (message instanceof CopyMessage.Fetch fetch) learn(fetch.layout());
+                if (message instanceof CopyMessage.Fetch fetch && fetch.layout() != null) learn(fetch.layout());
+                if (message instanceof CopyMessage.Want want) {
+                    String result = own.result(want.id());
+                    if (result == null) result = disk.results.get(want.token() + want.id());
+                    CopyMessage.Piece piece = result == null ? null : Pieces.cut(want, result);
+                    if (piece != null) send(number(sent.from), piece);
+                }
                 if (keeper != null) keeper.received(sent.from, message, now);
                 own.received(sent.from, message, now);
             }
@@ -219,7 +370,8 @@
         }
 
         private void learn(Layout layout) {
-            if (keeper == null) keeper = new Keeper(name, null, layout, MOST, WINDOW.plusSeconds(10), events.now());
+            // Numbers of later lives are higher, as those from a clock are.
+            if (keeper == null) keeper = new Keeper(name, null, layout, BOUNDS, events.now().toNanos() / 1000, events.now());
             else keeper.become(layout, events.now());
             own.become(layout, events.now());
             outcomes.epochs = (int) Math.max(outcomes.epochs, layout.epoch());
@@ -234,7 +386,19 @@
                 }
             }
             if (keeper != null) {
-                for (Keeper.Out out : keeper.outs()) send(number(out.to()), out.message());
+                keep();
+                List<String> tokens = keeper.changes();
+                boolean place = keeper.moved();
+                if (events.seconds() - placedS > 1) {
+                    placedS = events.seconds();
+                    place = true;
+                }
+                List<Keeper.Out> say = new ArrayList<>();
+                commit.changed(tokens, place, keeper.outs(), say).forEach(this::write);
+                for (Keeper.Out out : say) send(number(out.to()), out.message());
+                outcomes.oldFound = (int) Math.max(outcomes.oldFound, keeper.oldDisks());
+                outcomes.unsaid = Math.max(outcomes.unsaid, commit.unsaid());
+                outcomes.fetchedBytes = Math.max(outcomes.fetchedBytes, keeper.fetchedBytes());
                 outcomes.conflicts = (int) Math.max(outcomes.conflicts, keeper.conflicts());
             }
             for (Keeper.Out out : own.outs()) send(number(out.to()), out.message());
@@ -265,9 +429,11 @@
 
     /**
      * @param lostDisks share of kills that take the disk along
+     * @param oldDisks  share of starts with a disk that find an image of some seconds ago in its place
+     * @param sickDisks whether disks fail for some seconds now and then
      * @param claims    whether a run is claimed; without it each server knows of its own runs alone
      */
-    public CopiesWorld(FleetScript script, long seed, double lostDisks, boolean claims) {
+    public CopiesWorld(FleetScript script, long seed, double lostDisks, double oldDisks, boolean sickDisks, boolean claims) {
         this.script = script;
         this.plan = Plan.of(script);
         Seeds seeds = new Seeds(seed);
@@ -275,6 +441,8 @@
         this.links = seeds.of("links");
         this.chance = seeds.of("chance");
         this.lostDisks = lostDisks;
+        this.oldDisks = oldDisks;
+        this.sickDisks = sickDisks;
         this.claims = claims;
     }
 
@@ -314,8 +482,17 @@
 
     private double faultsShift;
 
+    /** All that is said of this token is printed, and all that happens to servers. */
+    public CopiesWorld trace(String token) {
+        traced = token;
+        return this;
+    }
+
+    private String traced;
+
     private void act(Plan.Action action) {
         Host host = hosts.get(action.slot());
+        if (traced != null) System.out.printf(Locale.ROOT, "%9.4f %s %s%n", played(), action.act(), host.name);
         switch (action.act()) {
             case START -> {
                 if (!host.up) host.start(host.everUp && chance.nextDouble() >= lostDisks || !host.everUp);
@@ -407,13 +584,29 @@
     private void run(Host host, long life, String token, String body, Verdict verdict, Duration due, boolean[] answered) {
         Token known = tokens.get(token);
         outcomes.runs++;
-        for (double before : known.ranAt) {
-            if (events.seconds() - before < WINDOW.toSeconds()) broken(token + " was run again by " + host.name + ", " + verdict);
+        for (int i = 0; i < known.ranAt.size(); i++) {
+            double before = known.ranAt.get(i);
+            if (events.seconds() - before >= WINDOW.toSeconds()) continue;
+            if (forgotten(known.keptBy.get(i), before)) outcomes.excused++;
+            else broken(token + " was run again by " + host.name + ", " + verdict);
         }
         known.ranAt.add(events.seconds());
+        known.keptBy.add(host.own.layout().keepers(Layout.range(token)));
         double work = chance.nextInt(8) == 0 ? 3 * chance.nextDouble() : 0.05 * chance.nextDouble();
         String result = body + " by " + host.name + " " + life + " " + outcomes.runs;
-        events.after(work, () -> finish(host, life, token, body, result, verdict, due, answered));
+        if (token.hashCode() % LONG_RESULTS == 0) result += ".".repeat(Outcome.INLINE + chance.nextInt(20_000));
+        String whole = result;
+        events.after(work, () -> finish(host, life, token, body, whole, verdict, due, answered));
+    }
+
+    /** Whether a majority of these, or of all voters, has lost its disks since: nothing is promised beyond that. */
+    private boolean forgotten(List<String> keepers, double sinceS) {
+        return lost(keepers, sinceS) || lost(hosts.values().stream().filter(each -> each.number <= VOTERS).map(each -> each.name).toList(), sinceS);
+    }
+
+    private boolean lost(List<String> names, double sinceS) {
+        long lost = hosts.values().stream().filter(each -> names.contains(each.name) && each.lostS.stream().anyMatch(at -> at >= sinceS)).count();
+        return !names.isEmpty() && lost >= Layout.majority(names.size());
     }
 
     private void finish(Host host, long life, String token, String body, String result, Verdict verdict, Duration due, boolean[] answered) {
@@ -429,7 +622,8 @@
             succeeded(token, body, result);
             return;
         }
-        host.own.ended(verdict.claim(), new Outcome(true, body, result), due, events.now().plus(WINDOW), events.now(), kept -> {
+        boolean big = result.length() > Outcome.INLINE;
+        host.own.ended(verdict.claim(), big ? Outcome.apart(body, result) : new Outcome(true, body, result), big ? result : null, due, events.now().plus(WINDOW), events.now(), kept -> {
             if (answered[0]) return;
             answered[0] = true;
             // Not kept by a majority in time: nothing is claimed that could be lost.
@@ -443,7 +637,7 @@
         outcomes.succeeded++;
         Token known = tokens.get(token);
         known.results.add(result);
-        if (known.results.size() > 1) broken(token + " was answered with two results " + known.results);
+        if (known.results.size() > 1 && !(known.ranAt.size() > 1 && forgotten(known.keptBy.get(0), known.ranAt.get(0)))) broken(token + " was answered with two results " + known.results);
         if (!result.startsWith(body + " by ")) broken(token + " was answered with another body's result");
     }
 
--- a/emulator/src/test/java/ochretiller/emulator/FleetTest.java
+++ b/emulator/src/test/java/ochretiller/emulator/FleetTest.java
@@ -81,13 +81,13 @@
     void noTokenIsRunTwiceInDrawnSchedulesWithCopies() {
         int replayed = 0;
         for (long seed = 1; seed <= 16; seed++) {
-            CopiesWorld.Outcomes outcome = new CopiesWorld(Drawn.copies(seed), seed, seed % 3 * 0.4, true).play(60, 25);
+            CopiesWorld.Outcomes outcome = new CopiesWorld(Drawn.copies(seed), seed, seed % 3 * 0.4, seed / 3 % 2 * 0.3, seed % 4 == 0, true).play(60, 25);
             assertThat(outcome.broken).as("seed " + seed).isEmpty();
             assertThat(outcome.conflicts).as("seed " + seed).isZero();
             replayed += outcome.replayed;
         }
         assertThat(replayed).isPositive();
-        assertThat(new CopiesWorld(Drawn.copies(1), 1, 0, false).play(60, 25).broken).as("each server for itself").anyMatch(line -> line.contains("run again"));
+        assertThat(new CopiesWorld(Drawn.copies(1), 1, 0, 0, false, false).play(60, 25).broken).as("each server for itself").anyMatch(line -> line.contains("run again"));
     }
 
     @Test
--- a/src/main/java/ochretiller/fleet/copies/Claims.java
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,14 +32,28 @@
     private static final int MOST = 10_000;
     /** Own claims that are remembered as released, to say so when asked. */
     private static final int REMEMBERED = 20_000;
+    /** Questions said again, and keepers asked beyond a majority, for each claim; and how many are saved up. */
+    private static final double AGAIN_SHARE = 1.0;
+    private static final double AGAIN_BURST = 256;
+    /** Times that an end is said again behind its majority: the keepers bring it to the rest themselves. */
+    private static final int LATER = 3;
+    /** Keepers whose numbers are remembered. */
+    private static final int MOST_HEARD = 4_096;
+    /** Characters of long results that this server holds for keepers that fetch them. */
+    private static final long MOST_RESULTS = 8L << 20;
 
     private final String name;
     private final long start;
     private final RandomGenerator chance;
     private final ClaimLimit limit = new ClaimLimit();
+    private final Pace pace = new Pace();
+    private final Allowance again = new Allowance(0, AGAIN_BURST, Duration.ZERO);
+    private final Pieces pieces = new Pieces();
+    /** What each keeper has told of its changes: one that comes back with less has an old disk. */
+    private final Map<String, Long> heard = new HashMap<>();
     private final Map<ClaimId, Attempt> attempts = new LinkedHashMap<>();
     private final Map<ClaimId, Ending> endings = new LinkedHashMap<>();
-    private final Map<ClaimId, String> running = new LinkedHashMap<>();
+    private final Map<ClaimId, Running> running = new LinkedHashMap<>();
     private final Map<ClaimId, Duration> releasedIds = new LinkedHashMap<>(16, 0.75f, false) {
         private static final long serialVersionUID = 1;
 
@@ -50,6 +65,13 @@
     private final List<Keeper.Out> outs = new ArrayList<>();
     private Layout layout;
     private long runs;
+    private long results;
+    private long hedged;
+    private long saidAgain;
+
+    /** A claim that was granted, and the changes of its keepers that it rests on. */
+    private record Running(String token, Map<String, Long> heard) {
+    }
 
     /** One keyed try on its way to a verdict. */
     private static final class Attempt {
@@ -65,6 +87,13 @@
         Duration nextLook;
         Duration pause = LOOK_FIRST;
         final Map<String, CopyMessage.Answer> answers = new TreeMap<>();
+        /** Those who are asked, the first of which were asked at first. */
+        List<String> order = List.of();
+        int asked;
+        /** Claims whose owners were asked whether they run, since this was said last. */
+        final Set<ClaimId> whether = new HashSet<>();
+        /** The claim whose long result is on its way. */
+        ClaimId fetches;
         boolean rivalSeen;
 
         Attempt(String token, String body, Duration due, Duration windowEnds, Consumer<Verdict> then) {
@@ -82,13 +111,20 @@
         final Outcome outcome;
         final Duration due;
         final Duration windowEnds;
+        final Map<String, Long> heard;
+        /** The result, where it is long and keepers fetch it; else null. */
+        final String result;
         Consumer<Boolean> then;
         Duration said;
+        Duration began;
+        int later;
         final Set<String> kept = new HashSet<>();
 
-        Ending(String token, Outcome outcome, Duration due, Duration windowEnds, Consumer<Boolean> then) {
-            this.token = token;
+        Ending(Running run, Outcome outcome, String result, Duration due, Duration windowEnds, Consumer<Boolean> then) {
+            this.token = run.token;
+            this.heard = run.heard;
             this.outcome = outcome;
+            this.result = result;
             this.due = due;
             this.windowEnds = windowEnds;
             this.then = then;
@@ -123,13 +159,43 @@
         return limit.limit();
     }
 
+    /** Keepers that were asked beyond a majority, and questions that were said again. */
+    public long hedged() {
+        return hedged;
+    }
+
+    public long saidAgain() {
+        return saidAgain;
+    }
+
+    /** The number of a keeper's change that was heard of last. */
+    public long heardOf(String keeper) {
+        return heard.getOrDefault(keeper, 0L);
+    }
+
+    /** What was heard of others' changes, for a start to come. */
+    public Map<String, Long> heard() {
+        Map<String, Long> all = new TreeMap<>();
+        for (Layout.Server each : layout.servers()) if (heard.containsKey(each.name())) all.put(each.name(), heard.get(each.name()));
+        return all;
+    }
+
+    /** What a former start had heard. */
+    public void remember(Map<String, Long> former) {
+        former.forEach(this::heard);
+    }
+
+    private void heard(String keeper, long number) {
+        if (heard.size() < MOST_HEARD || heard.containsKey(keeper)) heard.merge(keeper, number, Math::max);
+    }
+
     /** A later epoch: what is under way is asked anew of whoever keeps it now. */
     public void become(Layout next, Duration now) {
         if (next.epoch() <= layout.epoch()) return;
         layout = next;
         for (Attempt each : List.copyOf(attempts.values())) {
             each.answers.clear();
-            ask(each, now);
+            first(each, now);
         }
         endings.forEach((id, each) -> {
             each.kept.clear();
@@ -162,27 +228,50 @@
             return;
         }
         limit.begun();
+        again.earn(AGAIN_SHARE);
         Attempt attempt = new Attempt(token, body, due, windowEnds, then);
         renew(attempt);
         attempt.began = now;
-        ask(attempt, now);
+        first(attempt, now);
     }
 
     private void renew(Attempt attempt) {
         if (attempt.id != null) attempts.remove(attempt.id);
         attempt.id = new ClaimId(name, start, ++runs);
         attempt.answers.clear();
+        attempt.whether.clear();
         attempts.put(attempt.id, attempt);
     }
 
-    private void ask(Attempt attempt, Duration now) {
+    /** Asks as many as a majority takes, the quickest. */
+    private void first(Attempt attempt, Duration now) {
+        attempt.said = now;
+        attempt.order = pace.order(keepers(attempt.token), limit);
+        attempt.asked = Math.min(attempt.order.size(), Layout.majority(attempt.order.size()));
+        for (String keeper : attempt.order.subList(0, attempt.asked)) ask(attempt, keeper, now);
+    }
+
+    /** One more: an answer is late, or was no grant. */
+    private void more(Attempt attempt, Duration now) {
+        if (attempt.asked < attempt.order.size()) ask(attempt, attempt.order.get(attempt.asked++), now);
+    }
+
+    private void ask(Attempt attempt, String keeper, Duration now) {
+        limit.asked(keeper);
+        send(keeper, attempt.claims
+            ? new CopyMessage.Claim(layout.epoch(), attempt.token, attempt.id, attempt.body, until(attempt.windowEnds, now))
+            : new CopyMessage.Look(layout.epoch(), attempt.token, attempt.id));
+    }
+
+    /** What was not answered is asked again, all of it, as far as the budget goes. */
+    private void again(Attempt attempt, Duration now) {
         attempt.said = now;
-        for (String keeper : keepers(attempt.token)) {
+        attempt.asked = attempt.order.size();
+        for (String keeper : attempt.order) {
             if (attempt.answers.containsKey(keeper)) continue;
-            limit.asked(keeper);
-            send(keeper, attempt.claims
-                ? new CopyMessage.Claim(layout.epoch(), attempt.token, attempt.id, attempt.body, until(attempt.windowEnds, now))
-                : new CopyMessage.Look(layout.epoch(), attempt.token, attempt.id));
+            if (!again.take(1, now)) return;
+            saidAgain++;
+            ask(attempt, keeper, now);
         }
     }
 
@@ -202,18 +291,27 @@
     public void received(String from, CopyMessage message, Duration now) {
         if (message instanceof CopyMessage.Answer answer) {
             limit.heard(from);
+            heard(from, answer.number());
             Attempt attempt = attempts.get(answer.id());
             if (attempt == null || !keepers(attempt.token).contains(from)) return;
             if (attempt.claims && answer.word() == CopyMessage.Word.FREE) return; // to a look of before
-            attempt.answers.put(from, answer);
+            if (attempt.answers.put(from, answer) == null) pace.answered(from, now.minus(attempt.said));
             weigh(attempt, now);
         } else if (message instanceof CopyMessage.Kept kept) {
             limit.heard(from);
+            heard(from, kept.number());
             Ending ending = endings.get(kept.id());
             if (ending == null || kept.epoch() != layout.epoch() || !keepers(ending.token).contains(from)) return;
-            ending.kept.add(from);
+            if (ending.kept.add(from) && ending.result == null) pace.answered(from, now.minus(ending.said));
             if (ending.kept.size() >= Layout.majority(keepers(ending.token).size())) answer(ending, true);
-            if (ending.kept.size() == keepers(ending.token).size()) endings.remove(kept.id());
+            if (ending.kept.size() == keepers(ending.token).size()) drop(kept.id());
+        } else if (message instanceof CopyMessage.Ended ended) {
+            ended.heard().forEach(this::heard);
+        } else if (message instanceof CopyMessage.Recollect asked) {
+            send(from, new CopyMessage.Recollected(asked.nonce(), heardOf(from)));
+        } else if (message instanceof CopyMessage.Piece piece) {
+            pieces.received(piece).ifPresent(whole -> fetched(whole, now));
+            outs.addAll(pieces.tick(now));
         } else if (message instanceof CopyMessage.Whether whether) {
             Duration ends = releasedIds.get(whether.id());
             if (ends == null) return;
@@ -232,8 +330,13 @@
         for (CopyMessage.Answer answer : attempt.answers.values()) {
             switch (answer.word()) {
                 case DONE -> {
-                    done(attempt, answer.outcome().orElseThrow(), now);
-                    return;
+                    Outcome outcome = answer.outcome().orElseThrow();
+                    if (!outcome.big() || !outcome.body().equals(attempt.body)) {
+                        done(attempt, outcome, now);
+                        return;
+                    }
+                    against++;
+                    attempt.rivalSeen = true;
                 }
                 case GRANTED -> {
                     // A grant of another epoch is another majority's.
@@ -244,21 +347,26 @@
                 }
                 case HELD -> {
                     against++;
-                    if (!attempt.rivalSeen || !attempt.claims) {
-                        answer.other().ifPresent(other -> send(other.server(), new CopyMessage.Whether(attempt.token, other)));
-                    }
                     attempt.rivalSeen = true;
+                    if (answer.other().isPresent() && attempt.whether.add(answer.other().get())) {
+                        send(answer.other().get().server(), new CopyMessage.Whether(attempt.token, answer.other().get()));
+                    }
                 }
                 default -> against++;
             }
         }
+        if (fetches(attempt, now)) return;
+        int open = attempt.asked - attempt.answers.size();
+        if (against > 0 && granted + free + open < majority || against > 0 && open == 0) more(attempt, now);
         if (attempt.claims && granted >= majority) {
             if (now.compareTo(attempt.due) >= 0) { // looked at last: a server that slept acts on nothing old
                 release(attempt, now);
                 end(attempt, Verdict.What.THROTTLED, null, false);
                 return;
             }
-            running.put(attempt.id, attempt.token);
+            Map<String, Long> rests = new TreeMap<>();
+            attempt.answers.forEach((keeper, answer) -> rests.put(keeper, answer.number()));
+            running.put(attempt.id, new Running(attempt.token, rests));
             end(attempt, Verdict.What.RUN, null, true);
         } else if (attempt.claims && size - against < majority) {
             makeWay(attempt, now);
@@ -269,7 +377,27 @@
             limit.begun();
             renew(attempt);
             attempt.began = now;
-            ask(attempt, now);
+            first(attempt, now);
+        }
+    }
+
+    /** Whether it has ended with a long result that a keeper has: that is fetched, and nothing else is asked meanwhile. */
+    private boolean fetches(Attempt attempt, Duration now) {
+        for (Map.Entry<String, CopyMessage.Answer> each : attempt.answers.entrySet()) {
+            CopyMessage.Answer answer = each.getValue();
+            if (answer.word() != CopyMessage.Word.DONE || !answer.outcome().orElseThrow().here() || answer.other().isEmpty()) continue;
+            attempt.fetches = answer.other().get();
+            pieces.want(attempt.token, attempt.fetches, answer.outcome().get(), each.getKey(), layout.epoch(), now);
+            outs.addAll(pieces.tick(now));
+            return true;
+        }
+        return false;
+    }
+
+    private void fetched(Pieces.Whole whole, Duration now) {
+        for (Attempt attempt : List.copyOf(attempts.values())) {
+            if (!attempt.token.equals(whole.token()) || !whole.id().equals(attempt.fetches)) continue;
+            done(attempt, new Outcome(true, attempt.body, whole.result()), now);
         }
     }
 
@@ -296,35 +424,50 @@
 
     /** A claimed run has never begun after all: somebody else may have it. */
     public void neverRan(ClaimId id, Duration windowEnds, Duration now) {
-        String token = running.remove(id);
-        if (token == null) return;
+        Running run = running.remove(id);
+        if (run == null) return;
         releasedIds.put(id, windowEnds);
-        for (String keeper : keepers(token)) send(keeper, new CopyMessage.Release(token, id, until(windowEnds, now)));
+        for (String keeper : keepers(run.token)) send(keeper, new CopyMessage.Release(run.token, id, until(windowEnds, now)));
     }
 
     /**
      * A claimed run has ended.
      *
-     * @param due  when its answer has to leave
-     * @param then handed, once, whether a majority keeps the end by then
+     * @param result what is fetched by the keepers where the outcome is long, or null
+     * @param due    when its answer has to leave
+     * @param then   handed, once, whether a majority keeps the end by then
      */
-    public void ended(ClaimId id, Outcome outcome, Duration due, Duration windowEnds, Duration now, Consumer<Boolean> then) {
-        String token = running.remove(id);
-        if (token == null) {
+    public void ended(ClaimId id, Outcome outcome, String result, Duration due, Duration windowEnds, Duration now, Consumer<Boolean> then) {
+        Running run = running.remove(id);
+        if (run == null || endings.size() >= MOST) {
             then.accept(false);
             return;
         }
-        Ending ending = new Ending(token, outcome, due, windowEnds, then);
+        String held = outcome.big() && results + outcome.size() <= MOST_RESULTS ? result : null;
+        if (held != null) results += held.length();
+        Ending ending = new Ending(run, outcome, held, due, windowEnds, then);
+        ending.began = now;
         endings.put(id, ending);
         tell(id, ending, now);
     }
 
+    private void drop(ClaimId id) {
+        Ending ending = endings.remove(id);
+        if (ending != null && ending.result != null) results -= ending.result.length();
+    }
+
+    /** The long result of a run of this server that keepers still fetch, or null. */
+    public String result(ClaimId id) {
+        Ending ending = endings.get(id);
+        return ending == null ? null : ending.result;
+    }
+
     private void tell(ClaimId id, Ending ending, Duration now) {
         ending.said = now;
         for (String keeper : keepers(ending.token)) {
             if (ending.kept.contains(keeper)) continue;
             limit.asked(keeper);
-            send(keeper, new CopyMessage.Ended(layout.epoch(), ending.token, id, ending.outcome, until(ending.windowEnds, now)));
+            send(keeper, new CopyMessage.Ended(layout.epoch(), ending.token, id, ending.outcome, until(ending.windowEnds, now), ending.heard));
         }
     }
 
@@ -352,29 +495,42 @@
             } else if (attempt.claims && now.minus(attempt.said).compareTo(AGAIN) >= 0) {
                 // Who was behind or in another epoch may have come up to it meanwhile.
                 attempt.answers.values().removeIf(answer -> answer.word() == CopyMessage.Word.BEHIND || answer.word() == CopyMessage.Word.STALE);
-                ask(attempt, now);
+                again(attempt, now);
             } else if (!attempt.claims && now.compareTo(attempt.nextLook) >= 0) {
                 renew(attempt);
                 later(attempt, now);
-                ask(attempt, now);
+                first(attempt, now);
+            } else if (attempt.asked < attempt.order.size() && late(attempt, now) && again.take(1, now)) {
+                hedged++;
+                more(attempt, now);
             }
         }
-        endings.entrySet().removeIf(each -> {
+        outs.addAll(pieces.tick(now));
+        for (Map.Entry<ClaimId, Ending> each : List.copyOf(endings.entrySet())) {
             Ending ending = each.getValue();
             if (now.compareTo(ending.due) >= 0) answer(ending, false);
-            if (now.compareTo(ending.windowEnds) >= 0) return true;
+            boolean kept = ending.kept.size() >= Layout.majority(keepers(ending.token).size());
+            if (now.compareTo(ending.windowEnds) >= 0 || kept && ending.later >= LATER) {
+                drop(each.getKey());
+                continue;
+            }
             Duration pause = ending.then == null ? LOOK_MOST : AGAIN;
-            if (now.minus(ending.said).compareTo(pause) >= 0) tell(each.getKey(), ending, now);
-            return false;
-        });
+            if (now.minus(ending.said).compareTo(pause) < 0) continue;
+            if (kept) ending.later++;
+            tell(each.getKey(), ending, now);
+        }
+    }
+
+    private boolean late(Attempt attempt, Duration now) {
+        return now.minus(attempt.said).compareTo(pace.patience(attempt.order.subList(0, attempt.asked))) >= 0;
     }
 
     /** All that decides what it does next, as text; times are told from now on. */
     public String state(Duration now) {
         StringBuilder text = new StringBuilder().append(layout.epoch()).append(running).append(releasedIds.keySet());
-        attempts.forEach((id, each) -> text.append('a').append(id).append(each.claims).append(each.answers).append(each.rivalSeen)
+        attempts.forEach((id, each) -> text.append('a').append(id).append(each.claims).append(each.answers).append(each.rivalSeen).append(each.order).append(each.asked).append(each.fetches)
             .append(now.minus(each.said)).append(now.minus(each.began)).append(each.nextLook == null ? "" : each.nextLook.minus(now)));
-        endings.forEach((id, each) -> text.append('e').append(id).append(each.kept).append(now.minus(each.said)).append(each.then == null));
+        endings.forEach((id, each) -> text.append('e').append(id).append(each.kept).append(each.later).append(now.minus(each.said)).append(each.then == null));
         return text.toString();
     }
 }
--- a/src/main/java/ochretiller/fleet/copies/CopyMessage.java
+++ b/src/main/java/ochretiller/fleet/copies/CopyMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import ochretiller.fleet.epochs.Layout;
 
@@ -15,8 +16,14 @@
     record Look(long epoch, String token, ClaimId id) implements CopyMessage {
     }
 
-    /** A keeper's word on a claim. */
-    record Answer(long epoch, String token, ClaimId id, Word word, Optional<ClaimId> other, Optional<Outcome> outcome) implements CopyMessage {
+    /**
+     * A keeper's word on a claim.
+     *
+     * @param other  the claim that has ended, or else one that may be running
+     * @param number of the keeper's last change, which its disk has by now
+     */
+    record Answer(long epoch, String token, ClaimId id, Word word, Optional<ClaimId> other, Optional<Outcome> outcome, long number)
+        implements CopyMessage {
     }
 
     /** What a keeper can say. Silence is no word, and never counted as one. */
@@ -39,12 +46,12 @@
         FULL
     }
 
-    /** It has ended so. */
-    record Ended(long epoch, String token, ClaimId id, Outcome outcome, Duration left) implements CopyMessage {
+    /** It has ended so. {@code heard} are the numbers of changes that its claim rests on, by keeper. */
+    record Ended(long epoch, String token, ClaimId id, Outcome outcome, Duration left, Map<String, Long> heard) implements CopyMessage {
     }
 
-    /** That end is on disk. */
-    record Kept(long epoch, String token, ClaimId id) implements CopyMessage {
+    /** That end is on disk, as of the keeper's change of this number. */
+    record Kept(long epoch, String token, ClaimId id, long number) implements CopyMessage {
     }
 
     /** My claim never ran and never will. */
@@ -55,23 +62,69 @@
     record Whether(String token, ClaimId id) implements CopyMessage {
     }
 
-    /** All of a range, page by page, from behind this token on; who is asked answers for no older epoch from here on. */
-    record Fetch(long epoch, int range, String after, Layout layout) implements CopyMessage {
+    /**
+     * What do you have of a range that I lack? Who is asked answers for no older epoch from here on.
+     *
+     * @param nonce  names the question
+     * @param order  which way a walk goes through the range
+     * @param place  where the last page ended, and nothing at the first
+     * @param sketch of what the asker has, or null for a walk through all of it
+     * @param layout the epoch, for one that may not know it, or null
+     */
+    record Fetch(long epoch, int range, long nonce, Order order, Place place, Sketch sketch, Layout layout) implements CopyMessage {
     }
 
-    /** A page; {@code last} where there is no more, {@code whole} where the sender has all of the range. */
-    record Page(long epoch, int range, String after, List<Item> items, boolean last, boolean whole) implements CopyMessage {
+    /** Ways through a range. */
+    enum Order {
+        /** Those whose windows end last first: they matter longest. What changes meanwhile may be passed over. */
+        NEWEST,
+        /** By their tokens: nothing that was there all the time is passed over. */
+        TOKEN
     }
 
-    /** This is how I have that range; whoever has it otherwise sends some of what it has. */
-    record Compare(long epoch, int range, long digest) implements CopyMessage {
+    /** Where a page ended: the end of a window on the clock of who was asked, in nanoseconds, and a token. */
+    record Place(long untilNs, String token) {
+        static final Place START = new Place(Long.MAX_VALUE, "");
     }
 
-    /** Some of a range, for one that has it otherwise. */
-    record Repair(int range, List<Item> items) implements CopyMessage {
+    /**
+     * Some of what a range has.
+     *
+     * @param place where it ended
+     * @param last  whether there is no more that the sender knows the asker to lack
+     * @param whole whether the sender has all of the range
+     * @param told  false where the sketch told nothing, since too much differs
+     * @param count entries that the sender has of the range
+     * @param digest of all of them
+     */
+    record Page(long epoch, int range, long nonce, List<Item> items, Place place, boolean last, boolean whole, boolean told, int count, long digest)
+        implements CopyMessage {
+    }
+
+    /** This is how I have that range; whoever has it otherwise fetches what it lacks, and says how it has it itself. */
+    record Compare(long epoch, int range, long digest, boolean back) implements CopyMessage {
+    }
+
+    /** I have come back: the change of which number did you hear of last from me? */
+    record Recollect(long nonce) implements CopyMessage {
+    }
+
+    /** That one; 0 for none. */
+    record Recollected(long nonce, long number) implements CopyMessage {
+    }
+
+    /** A piece of a long result, from this byte on. */
+    record Want(String token, ClaimId id, int from) implements CopyMessage {
+    }
+
+    /** That piece, a character a byte. */
+    record Piece(String token, ClaimId id, int from, String bytes) implements CopyMessage {
     }
 
     /** One entry on its way; its window's end is told as the rest of it. */
     record Item(String token, Entry entry, Duration left) {
+        int bytes() {
+            return entry.bytes() + token.length();
+        }
     }
 }
--- a/src/main/java/ochretiller/fleet/copies/Entry.java
+++ b/src/main/java/ochretiller/fleet/copies/Entry.java
@@ -29,7 +29,7 @@
         Set<ClaimId> allReleased = new TreeSet<>(released);
         allReleased.addAll(other.released);
         Map<ClaimId, Outcome> allOutcomes = new TreeMap<>(outcomes);
-        other.outcomes.forEach(allOutcomes::putIfAbsent);
+        other.outcomes.forEach((id, outcome) -> allOutcomes.merge(id, outcome, Outcome::join));
         return new Entry(allClaims, allReleased, allOutcomes, until.compareTo(other.until) > 0 ? until : other.until);
     }
 
@@ -44,11 +44,32 @@
         return outcomes.values().stream().findFirst();
     }
 
+    /** The claim whose end that is. */
+    Optional<ClaimId> ended() {
+        return outcomes.keySet().stream().findFirst();
+    }
+
     /** Two ends of one token: a second run, or a keeper that lies. */
     public boolean conflict() {
         return outcomes.size() > 1;
     }
 
+    /** As another hears of it: long results have yet to come. */
+    Entry told(Duration window) {
+        Map<ClaimId, Outcome> told = new TreeMap<>();
+        outcomes.forEach((id, outcome) -> told.put(id, outcome.told()));
+        return new Entry(claims, released, told, window);
+    }
+
+    /** Memory and way that it takes, in bytes, as reckoned. */
+    int bytes() {
+        int bytes = 96;
+        for (Map.Entry<ClaimId, String> each : claims.entrySet()) bytes += 48 + each.getKey().server().length() + each.getValue().length();
+        for (ClaimId each : released) bytes += 40 + each.server().length();
+        for (Outcome each : outcomes.values()) bytes += 40 + each.bytes();
+        return bytes;
+    }
+
     boolean full() {
         return claims.size() + released.size() >= MOST;
     }
--- /dev/null
+++ b/src/main/java/ochretiller/fleet/copies/Pulls.java
@@ -0,0 +1,285 @@
+package ochretiller.fleet.copies;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import ochretiller.fleet.epochs.Layout;
+
+/**
+ * What a keeper fetches from others, range by range. A range that it is to catch up with counts once it has heard all from as many
+ * as it needs; what differs by the way is repaired with what is left of the allowance. Each fetch can be broken off and taken up
+ * anywhere: where copies are nearly equal a sketch tells what is lacking, else the range is walked through, the newest first.
+ */
+final class Pulls {
+    /** Fetches that wait for an answer at once: a whole fleet that comes back must not flood those that have what it lacks. */
+    private static final int AT_ONCE = 6;
+    /** Of these for repair: what serves nobody yet goes before. */
+    private static final int REPAIRS_AT_ONCE = 2;
+    /** Repairs that wait; more are found again by the next comparisons. */
+    private static final int MOST_REPAIRS = 512;
+    /** A fetch that is not answered is said again. */
+    private static final Duration AGAIN = Duration.ofMillis(300);
+    /** A repair whose source says nothing so often is given up: a comparison will find it again. */
+    private static final int TRIES = 5;
+    /** Cells of a first sketch, and how much larger the next is where it told nothing. */
+    private static final int FIRST_CELLS = 24;
+    private static final int LARGER = 4;
+    /** From so many times as many entries on a walk is cheaper than a sketch of what differs. */
+    private static final int FAR = 2;
+
+    private final String name;
+    private final Stock stock;
+    private final Allowance allowance;
+    private final Map<Integer, Catch> catching = new TreeMap<>();
+    private final Map<Place, Pull> pulls = new LinkedHashMap<>();
+    /** Who has said something in this epoch, and needs to be told of it no more. */
+    private final Set<String> know = new HashSet<>();
+    private long nonce;
+    private long bytes;
+    private long fetched;
+
+    /** A range at a source. */
+    private record Place(int range, String source) {
+    }
+
+    /** A range that is not whole yet. */
+    private static final class Catch {
+        final List<String> sources;
+        final int needed;
+        final Set<String> whole = new HashSet<>();
+        /** Whether the range was kept and may be forgotten in part. */
+        final boolean forgot;
+        final Duration began;
+        final Duration until;
+
+        Catch(List<String> sources, int needed, boolean forgot, Duration began, Duration until) {
+            this.sources = sources;
+            this.needed = needed;
+            this.forgot = forgot;
+            this.began = began;
+            this.until = until;
+        }
+    }
+
+    private enum Way { SKETCH, NEWEST, TOKEN }
+
+    private static final class Pull {
+        final boolean repair;
+        Way way;
+        int cells = FIRST_CELLS;
+        CopyMessage.Place place = CopyMessage.Place.START;
+        long nonce;
+        Duration asked;
+        int silent;
+        boolean walked;
+        long digest;
+
+        Pull(boolean repair, Way way) {
+            this.repair = repair;
+            this.way = way;
+        }
+    }
+
+    Pulls(String name, Stock stock, Allowance allowance) {
+        this.name = name;
+        this.stock = stock;
+        this.allowance = allowance;
+    }
+
+    /** Bytes of entries that came, as reckoned. */
+    long bytes() {
+        return bytes;
+    }
+
+    /** Entries that came. */
+    long fetched() {
+        return fetched;
+    }
+
+    int behind() {
+        return catching.size();
+    }
+
+    boolean behind(int range) {
+        return catching.containsKey(range);
+    }
+
+    Set<Integer> rangesBehind() {
+        return Set.copyOf(catching.keySet());
+    }
+
+    Set<Integer> rangesForgotten() {
+        Set<Integer> all = new HashSet<>();
+        catching.forEach((range, each) -> {
+            if (each.forgot) all.add(range);
+        });
+        return all;
+    }
+
+    /** How long the range that has waited longest is not whole. */
+    Duration oldest(Duration now) {
+        return catching.values().stream().map(each -> now.minus(each.began)).max(Duration::compareTo).orElse(Duration.ZERO);
+    }
+
+    /** Whether this keeper's own copy is one of those that make a range whole, or null where the range is whole. */
+    Boolean ownCounts(int range) {
+        Catch each = catching.get(range);
+        return each == null ? null : (Boolean) each.whole.contains(name);
+    }
+
+    /** Whoever is asked in a later epoch has to be told of it, and what was under way in the last one is void. */
+    void epoch() {
+        know.clear();
+        pulls.clear();
+    }
+
+    void whole(int range) {
+        catching.remove(range);
+        pulls.keySet().removeIf(each -> each.range == range);
+    }
+
+    /**
+     * A range counts from when so many of the sources have told all of it.
+     *
+     * @param had    whether this keeper's own copy is one of them
+     * @param forgot whether it kept the range and may have forgotten some of it
+     */
+    void catchUp(int range, List<String> sources, int needed, boolean had, boolean forgot, Duration now, Duration until) {
+        whole(range);
+        Catch fresh = new Catch(sources, needed, forgot, now, until);
+        if (had) fresh.whole.add(name);
+        if (fresh.whole.size() < needed) catching.put(range, fresh);
+    }
+
+    /** What differs from another's copy is fetched when there is time. */
+    void repair(int range, String source) {
+        Place place = new Place(range, source);
+        if (catching.containsKey(range) || pulls.containsKey(place) || pulls.size() >= MOST_REPAIRS) return;
+        pulls.put(place, new Pull(true, way(range)));
+    }
+
+    private Way way(int range) {
+        return stock.count(range) == 0 ? Way.NEWEST : Way.SKETCH;
+    }
+
+    /** What to ask now. */
+    List<Keeper.Out> tick(Layout layout, Duration now) {
+        // Behind the longest window nothing that is missing can matter any more.
+        for (Map.Entry<Integer, Catch> each : List.copyOf(catching.entrySet())) if (now.compareTo(each.getValue().until) >= 0) whole(each.getKey());
+        pulls.values().removeIf(pull -> pull.repair && pull.silent >= TRIES);
+        int waiting = 0;
+        int repairs = 0;
+        for (Pull pull : pulls.values()) {
+            if (pull.asked == null || now.minus(pull.asked).compareTo(AGAIN) >= 0) continue;
+            if (pull.repair) repairs++;
+            else waiting++;
+        }
+        catching.forEach((range, each) -> {
+            for (String source : each.sources) {
+                if (source.equals(name) || each.whole.contains(source)) continue;
+                Place place = new Place(range, source);
+                if (pulls.containsKey(place) || pulls.size() >= 2 * MOST_REPAIRS) continue;
+                pulls.put(place, new Pull(false, way(range)));
+            }
+        });
+        List<Keeper.Out> outs = new ArrayList<>();
+        for (boolean repair : new boolean[] {false, true}) {
+            for (Map.Entry<Place, Pull> each : pulls.entrySet()) {
+                Pull pull = each.getValue();
+                if (pull.repair != repair || pull.asked != null && now.minus(pull.asked).compareTo(AGAIN) < 0) continue;
+                if (waiting + repairs >= AT_ONCE || repair && repairs >= REPAIRS_AT_ONCE || !allowance.open(now)) break;
+                if (pull.asked != null) {
+                    pull.silent++;
+                    know.remove(each.getKey().source); // it may not know of the epoch, and say nothing for that
+                }
+                if (repair) repairs++;
+                else waiting++;
+                outs.add(ask(each.getKey(), pull, layout, now));
+            }
+        }
+        return outs;
+    }
+
+    private Keeper.Out ask(Place at, Pull pull, Layout layout, Duration now) {
+        pull.asked = now;
+        pull.nonce = ++nonce;
+        pull.digest = stock.digest(at.range);
+        // Beside the layout of a large fleet there is room for a small sketch only.
+        boolean told = know.contains(at.source);
+        Sketch sketch = pull.way == Way.SKETCH ? stock.sketch(at.range, told ? pull.cells : Math.min(pull.cells, FIRST_CELLS)) : null;
+        return new Keeper.Out(at.source, new CopyMessage.Fetch(layout.epoch(), at.range, pull.nonce,
+            pull.way == Way.TOKEN ? CopyMessage.Order.TOKEN : CopyMessage.Order.NEWEST, pull.place, sketch, told ? null : layout));
+    }
+
+    /** A page has come and its items are taken; what to ask next of the same source, if anything. */
+    Optional<Keeper.Out> page(String from, CopyMessage.Page page, Layout layout, Duration now) {
+        Place at = new Place(page.range(), from);
+        Pull pull = pulls.get(at);
+        if (pull == null || pull.nonce != page.nonce()) return Optional.empty();
+        know.add(from);
+        pull.silent = 0;
+        for (CopyMessage.Item item : page.items()) {
+            allowance.spend(item.bytes());
+            bytes += item.bytes();
+            fetched++;
+        }
+        if (over(pull, page)) {
+            pulls.remove(at);
+            Catch each = catching.get(page.range());
+            if (each == null || pull.repair) return Optional.empty();
+            if (!page.whole()) {
+                // It has no more itself, and lacks some: it is asked again in a while.
+                Pull again = new Pull(false, way(page.range()));
+                again.asked = now;
+                pulls.put(at, again);
+                return Optional.empty();
+            }
+            each.whole.add(from);
+            if (each.whole.size() >= each.needed) whole(page.range());
+            return Optional.empty();
+        }
+        if (!allowance.open(now)) {
+            pull.asked = null; // the next tick with something left asks
+            return Optional.empty();
+        }
+        return Optional.of(ask(at, pull, layout, now));
+    }
+
+    /** Whether the source has told all that was lacking as it was asked; else what way the next question goes. */
+    private boolean over(Pull pull, CopyMessage.Page page) {
+        if (pull.way == Way.SKETCH) {
+            // Guards against a fetch without end where there is no room for what comes: nothing has changed by it.
+            if (page.told()) return page.last() || pull.digest == stock.digest(page.range());
+            boolean far = page.count() > FAR * stock.count(page.range());
+            if (!far && pull.cells < Sketch.MOST) {
+                pull.cells = Math.min(Sketch.MOST, pull.cells * LARGER);
+            } else {
+                pull.way = pull.walked ? Way.TOKEN : Way.NEWEST;
+                pull.place = CopyMessage.Place.START;
+            }
+            return false;
+        }
+        pull.place = page.place();
+        if (!page.last()) return false;
+        if (pull.way == Way.TOKEN || page.digest() == stock.digest(page.range())) return true;
+        // Guards against what has changed its place during the walk: a sketch tells what is lacking still.
+        pull.walked = true;
+        pull.way = Way.SKETCH;
+        pull.cells = FIRST_CELLS * LARGER;
+        return false;
+    }
+
+    String state() {
+        StringBuilder text = new StringBuilder();
+        catching.forEach((range, each) -> text.append('c').append(range).append(each.whole));
+        pulls.forEach((at, pull) -> text.append('p').append(at).append(pull.repair).append(pull.way).append(pull.cells).append(pull.place).append(pull.asked == null)
+            .append(pull.silent).append(pull.walked));
+        return text.append(know).toString();
+    }
+}
--- a/src/main/java/ochretiller/fleet/epochs/Voter.java
+++ b/src/main/java/ochretiller/fleet/epochs/Voter.java
@@ -16,6 +16,9 @@
  * what is open, and abstains from all of that for ever: it votes again from the first epoch behind it.
  */
 public final class Voter {
+    /** Rounds of asking in which all voters have to be without anything: servers that know of an epoch have the time to say so. */
+    private static final int ROUNDS = 4;
+
     private final String name;
     private final Set<String> voters;
     private Promised promised;
@@ -25,6 +28,7 @@
     private long nonce;
     private final Map<String, Long> open = new HashMap<>();
     private final Map<String, Long> blanks = new HashMap<>();
+    private int blankRounds;
     /** Tells this start without a disk from any other. */
     private final long instance;
     // An attempt of its own.
@@ -96,9 +100,10 @@
         return blank || number <= abstainsTo;
     }
 
-    /** Asks the others what it may have promised; again and again until it knows. */
+    /** Asks the others what it may have promised, and all servers which epoch they know of; again and again until it knows. */
     public void ask() {
         if (!blank) return;
+        if (blanks.size() < voters.size()) blankRounds = 0;
         open.clear();
         blanks.clear();
         blanks.put(name, instance);
@@ -169,11 +174,13 @@
         promised = new Promised(promised.agreed, promised.ballot, promised.acceptedAt, promised.accepted, abstainsTo);
     }
 
-    /** Where all voters are without anything at one time there was never anything, or it is lost for good. */
+    /**
+     * Where all voters are without anything at one time there was never anything, or it is lost for good: then they go on from the
+     * last epoch that any server has told of.
+     */
     private void blank(String from, EpochMessage.Blank told) {
         if (!blank || told.nonce() != nonce || !voters.contains(from)) return;
-        blanks.put(from, told.instance());
-        if (blanks.size() < voters.size()) return;
+        if (blanks.put(from, told.instance()) != null || blanks.size() < voters.size() || ++blankRounds < ROUNDS) return;
         blank = false;
         outs.add(new Out(Optional.empty(), new EpochMessage.Fresh(Map.copyOf(blanks))));
     }
--- a/src/main/java/ochretiller/fleet/peers/Copies.java
+++ b/src/main/java/ochretiller/fleet/peers/Copies.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,9 +23,12 @@
 import java.util.random.RandomGenerator;
 import ochretiller.fleet.copies.ClaimId;
 import ochretiller.fleet.copies.Claims;
+import ochretiller.fleet.copies.Commit;
 import ochretiller.fleet.copies.CopyMessage;
+import ochretiller.fleet.copies.Entry;
 import ochretiller.fleet.copies.Keeper;
 import ochretiller.fleet.copies.Outcome;
+import ochretiller.fleet.copies.Pieces;
 import ochretiller.fleet.copies.Verdict;
 import ochretiller.fleet.epochs.EpochMessage;
 import ochretiller.fleet.epochs.Layout;
@@ -33,10 +37,12 @@
 import ochretiller.fleet.members.Seen;
 import ochretiller.metrics.Metrics;
 import ochretiller.net.Schedule;
+import ochretiller.store.Store;
 
 /**
- * Carries out what is decided about epochs, claims and copies, on the one thread. Entries are kept in memory: a keeper that was
- * started again has lost them, and counts again once the others have told it. What a voter promises is on disk before it is said.
+ * Carries out what is decided about epochs, claims and copies, on the one thread. Where results are remembered a keeper's entries
+ * are in the same store, and each of its words is on disk before it leaves; else they are in memory, and one that was started again
+ * counts once the others have told it. What a voter promises is on disk before it is said.
  */
 public final class Copies {
     private static final Logger LOG = Logger.getLogger(Copies.class.getName());
@@ -49,9 +55,16 @@
     private static final int COMPARES = 25;
     /** Results that were asked for here lately, and are answered from here. */
     private static final int NEAR = 1_000;
-    /** Longest result that goes with a datagram; of a longer one only its end is kept, and repeats elsewhere are errored. */
-    private static final int LONGEST_RESULT = 4_096;
     private static final int WRITES = 64;
+    /** Starts with one disk that are remembered. */
+    private static final int STARTS = 64;
+    /** Who is there is looked up so often, and the place on the disk is written anew at least so often while anything changes. */
+    private static final Duration LOOKS = Duration.ofMillis(500);
+    private static final Duration PLACES = Duration.ofSeconds(1);
+    /** Conflicts that get a line each, with both sides. */
+    private static final int CONFLICT_LINES = 20;
+    /** Pieces of long results that are answered at a time from one read of the disk. */
+    private static final int MOST_TOKENS_TOLD = 5_000;
 
     private final Schedule schedule;
     private final CopySettings settings;
@@ -63,6 +76,13 @@
     private final Supplier<List<Seen>> view;
     private final Claims claims;
     private final Wish wish;
+    private final Shelf shelf;
+    private final Commit commit;
+    /** Null where nothing outlives a restart. */
+    private final KeeperDisk disk;
+    private final KeeperDisk.Found found;
+    private final List<Long> starts;
+    private final Keeper.Bounds bounds;
     private final VoterFile file;
     private final ExecutorService writer;
     private final Map<String, Outcome> near = new LinkedHashMap<>(16, 0.75f, true) {
@@ -88,20 +108,32 @@
     private Keeper keeper;
     private Duration attempted = Duration.ZERO.minusSeconds(60);
     private Duration spoken = Duration.ZERO;
+    private Duration looked = Duration.ZERO;
+    private Duration placed = Duration.ZERO;
+    private long placedNumber = -1;
     private boolean silent;
     private boolean closed;
-    private volatile long epochNow;
-    private volatile int behindNow;
-    private volatile int sizeNow;
-    private volatile long conflictsNow;
-    private volatile double limitNow;
+    private int conflictLines;
+    private final Set<String> toldOf = new HashSet<>();
+    private boolean wasReturning;
+    private boolean wasBehind;
+    private boolean wasSick;
+    private Duration behindSince;
+    private volatile Figures figures = new Figures(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+
+    /** What is told of it at a time; one piece, since it is read from another thread. */
+    private record Figures(long epoch, int behind, int entries, long bytes, long conflicts, double limit, int hints, double gap, long fetched, long sent, long compares,
+                           long differed, int waiting, long unsaid, long hedged, long again, long oldDisks) {
+    }
+    private long epochNow;
 
     /**
      * @param longest the longest window of a token
      * @param send    sends to a server by its name
+     * @param store   where entries are kept, not started yet; null where they are kept in memory
      */
     Copies(Schedule schedule, CopySettings settings, String name, String zone, long start, Duration longest, RandomGenerator chance, Metrics metrics,
-           BiConsumer<String, Object> send, Supplier<List<Seen>> view) {
+           BiConsumer<String, Object> send, Supplier<List<Seen>> view, Store store) {
         this.schedule = schedule;
         this.settings = settings;
         this.name = name;
@@ -120,21 +152,57 @@
             thread.setDaemon(true);
             return thread;
         }) : null;
-        claims = new Claims(name, start, Layout.none(settings.factor()), chance);
+        bounds = new Keeper.Bounds(settings.most(), settings.mostBytes(), settings.catchUp(), longest);
+        disk = store == null ? null : new KeeperDisk(store, longest);
+        found = disk == null ? new KeeperDisk.Found(null, Map.of(), 0, KeeperDisk.Place.NONE) : disk.read(schedule.now());
+        shelf = new Shelf(disk, settings.mostBytes() / 2);
+        commit = new Commit(chance);
+        if (found.disk() != null) {
+            keeper = new Keeper(name, found.disk(), null, bounds, 0, schedule.now());
+            epochNow = keeper.layout().epoch();
+            LOG.info(() -> "fleet: kept " + keeper.size() + " tokens of " + keeper.layout() + ", " + keeper.behind() + " ranges behind; asks the others whether it missed any");
+        }
+        claims = new Claims(name, start, keeper == null ? Layout.none(settings.factor()) : keeper.layout(), chance);
+        claims.remember(found.place().heard());
+        starts = starts(found.place().starts(), start);
         asked = metrics.counter("fleet_claims_total", "Tokened invocations whose claim was asked for");
         granted = metrics.counter("fleet_claims_granted_total", "Claims that a majority of keepers granted");
         replayed = metrics.counter("fleet_claims_replayed_total", "Repeats that were answered with a result from the fleet");
         throttled = metrics.counter("fleet_claims_throttled_total", "Claims without a majority, which were not run");
         unknown = metrics.counter("fleet_claims_unknown_total", "Repeats of what another has claimed and nobody knows the end of");
         unkept = metrics.counter("fleet_ends_unkept_total", "Ends that no majority had kept when their answer was due");
-        metrics.gauge("fleet_epoch", "The epoch in force, as this server knows it", () -> epochNow);
-        metrics.gauge("fleet_ranges_behind", "Ranges that this server keeps and does not have whole", () -> behindNow);
-        metrics.gauge("fleet_entries", "Tokens that this server keeps for the fleet", () -> sizeNow);
-        metrics.gauge("fleet_claim_limit", "Claims that may be under way", () -> limitNow);
-        metrics.counted("fleet_conflicts_total", "Tokens with two ends, which must not be", () -> conflictsNow);
+        figures(metrics);
+    }
+
+    /** The last of the starts that had this disk, this one among them. */
+    private static List<Long> starts(List<Long> former, long start) {
+        List<Long> all = new ArrayList<>(former);
+        all.add(start);
+        return List.copyOf(all.subList(Math.max(0, all.size() - STARTS), all.size()));
+    }
+
+    private void figures(Metrics metrics) {
+        metrics.gauge("fleet_epoch", "The epoch in force, as this server knows it", () -> figures.epoch);
+        metrics.gauge("fleet_ranges_behind", "Ranges that this server keeps and does not have whole", () -> figures.behind);
+        metrics.gauge("fleet_oldest_gap_seconds", "How long the range that has waited longest is not whole", () -> figures.gap);
+        metrics.gauge("fleet_entries", "Tokens that this server keeps for the fleet", () -> figures.entries);
+        metrics.gauge("fleet_entries_bytes", "Bytes of those, as reckoned", () -> figures.bytes);
+        metrics.gauge("fleet_claim_limit", "Claims that may be under way", () -> figures.limit);
+        metrics.gauge("fleet_hints", "Ranges that have changed while a keeper of them is away, or is yet to be told so", () -> figures.hints);
+        metrics.gauge("fleet_words_waiting", "A keeper's words that wait for the disk", () -> figures.waiting);
+        metrics.counted("fleet_words_unsaid_total", "A keeper's words that were not said, since the disk did not take what they rest on", () -> figures.unsaid);
+        metrics.counted("fleet_conflicts_total", "Tokens with two ends, which must not be", () -> figures.conflicts);
+        metrics.counted("fleet_repair_fetched_bytes_total", "Bytes of entries fetched from other keepers, as reckoned", () -> figures.fetched);
+        metrics.counted("fleet_repair_sent_bytes_total", "Bytes of entries sent to other keepers, as reckoned", () -> figures.sent);
+        metrics.counted("fleet_compares_total", "Ranges compared with another keeper", () -> figures.compares);
+        metrics.counted("fleet_compares_differed_total", "Ranges that another keeper had otherwise", () -> figures.differed);
+        metrics.counted("fleet_claims_hedged_total", "Keepers asked beyond a majority, since another was late", () -> figures.hedged);
+        metrics.counted("fleet_claims_again_total", "Questions to keepers that were said again", () -> figures.again);
+        metrics.counted("fleet_old_disks_total", "Times that this server's disk was found older than its word", () -> figures.oldDisks);
     }
 
     void start() {
+        if (voter != null && epochNow > 0) voter.received(name, new EpochMessage.Agreed(claims.layout()));
         if (voter != null && !voter.blank()) learn(voter.agreed());
         tick();
     }
@@ -153,14 +221,7 @@
         if (closed) return;
         Duration now = schedule.now();
         claims.tick(now);
-        if (keeper != null) {
-            keeper.tick(now);
-            if (chance.nextInt(COMPARES) == 0) keeper.compare(chance);
-            behindNow = keeper.behind();
-            sizeNow = keeper.size();
-            conflictsNow = keeper.conflicts();
-        }
-        limitNow = claims.limit();
+        if (keeper != null) tick(now);
         if (voter != null && now.minus(spoken).compareTo(SPEAK) >= 0) {
             spoken = now.minus(Duration.ofNanos((long) (SPEAK.toNanos() / 2 * chance.nextDouble())));
             vote(now);
@@ -169,6 +230,53 @@
         schedule.after(TICK, this::tick);
     }
 
+    private void tick(Duration now) {
+        keeper.tick(now);
+        if (chance.nextInt(COMPARES) == 0) keeper.compare(chance);
+        if (now.minus(looked).compareTo(LOOKS) >= 0) {
+            looked = now;
+            Set<String> live = new HashSet<>();
+            for (Seen seen : view.get()) if (seen.member().state().live()) live.add(seen.member().id().name());
+            keeper.there(live);
+            conflicts();
+        }
+        if (disk != null) commit.tick(now).forEach(this::write);
+        tell(now);
+        figures = new Figures(epochNow, keeper.behind(), keeper.size(), keeper.bytes(), keeper.conflicts(), claims.limit(), keeper.hints(),
+            keeper.oldestGap(now).toNanos() / 1e9, keeper.fetchedBytes(), keeper.sentBytes(), keeper.compares(), keeper.differed(), commit.waiting(), commit.unsaid(),
+            claims.hedged(), claims.saidAgain(), keeper.oldDisks());
+    }
+
+    /** Lines on what operators wait for: each state when it begins and ends, and not how it goes on. */
+    private void tell(Duration now) {
+        boolean returning = keeper.returning();
+        if (wasReturning && !returning) {
+            LOG.info(keeper.oldDisks() > 0 ? "fleet: the disk is older than this server's last word: what it kept is fetched from the others"
+                : "fleet: nobody knows of a later word than the disk has: it counts as a keeper");
+        }
+        wasReturning = returning;
+        boolean behind = keeper.behind() > 0;
+        if (behind && !wasBehind) behindSince = now;
+        if (behind != wasBehind) {
+            int ranges = keeper.behind();
+            long entries = keeper.fetched();
+            long took = now.minus(behindSince).toMillis();
+            LOG.info(behind ? "fleet: fetches " + ranges + " ranges" : "fleet: has all its ranges whole, behind " + took + " ms; fetched " + entries + " entries since its start");
+        }
+        wasBehind = behind;
+        if (commit.sick() != wasSick) LOG.warning(commit.sick() ? "fleet: the disk does not take what this server keeps: it says nothing as a keeper" : "fleet: the disk takes what this server keeps again");
+        wasSick = commit.sick();
+    }
+
+    private void conflicts() {
+        if (keeper.conflicts() <= conflictLines || conflictLines >= CONFLICT_LINES) return;
+        for (Map.Entry<String, Entry> each : keeper.conflicting(CONFLICT_LINES).entrySet()) {
+            if (conflictLines >= CONFLICT_LINES || !toldOf.add(each.getKey())) continue;
+            conflictLines++;
+            LOG.severe(() -> "fleet: token " + each.getKey() + " has two ends, which must not be: " + each.getValue().outcomes().keySet() + "; it is answered with the first");
+        }
+    }
+
     private void vote(Duration now) {
         if (voter.blank()) {
             voter.ask();
@@ -206,8 +314,12 @@
         if (message instanceof EpochMessage word) {
             if (voter != null) voter.received(from, word);
             if (word instanceof EpochMessage.Agreed agreed && settings.voters().contains(from)) learn(agreed.layout());
+            // Guards against voters that have all lost what they promised: what is in force is known to others, too.
+            boolean asks = word instanceof EpochMessage.WhatIsOpen || word instanceof EpochMessage.Agreed agreed && agreed.layout().epoch() < epochNow;
+            if (asks && epochNow > 0 && !from.equals(name) && settings.voters().contains(from)) out(from, new EpochMessage.Agreed(claims.layout()));
         } else if (message instanceof CopyMessage word) {
-            if (word instanceof CopyMessage.Fetch fetch) learn(fetch.layout());
+            if (word instanceof CopyMessage.Fetch fetch && fetch.layout() != null) learn(fetch.layout());
+            if (word instanceof CopyMessage.Want want) wanted(from, want);
             if (keeper != null) keeper.received(from, word, now);
             claims.received(from, word, now);
         }
@@ -219,15 +331,70 @@
         Duration now = schedule.now();
         if (layout.epoch() > epochNow) LOG.info(() -> "fleet: " + layout + " is in force");
         epochNow = Math.max(epochNow, layout.epoch());
-        if (keeper == null) keeper = new Keeper(name, null, layout, settings.most(), longest, now);
-        else keeper.become(layout, now);
+        if (keeper == null) {
+            // A number over all that it has ever told, as long as the Unix clock is not set back; if it is, its next start finds its disk old, without harm.
+            long first = Math.max(found.number() + 1, System.currentTimeMillis() * 1000);
+            keeper = new Keeper(name, null, layout, bounds, first, now);
+            found.entries().forEach((token, entry) -> keeper.remember(token, entry));
+        } else {
+            keeper.become(layout, now);
+        }
         claims.become(layout, now);
     }
 
     private void carryOut() {
         if (voter != null) carryOutVoter();
         for (Keeper.Out each : claims.outs()) out(each.to(), each.message());
-        if (keeper != null) for (Keeper.Out each : keeper.outs()) out(each.to(), each.message());
+        if (keeper != null) carryOutKeeper();
+    }
+
+    private void carryOutKeeper() {
+        Duration now = schedule.now();
+        for (Pieces.Whole whole : keeper.wholes()) {
+            Duration until = keeper.entry(whole.token()).until();
+            shelf.keep(whole.token(), whole.id(), whole.result(), until, now, kept -> {
+                if (closed || !kept) return;
+                keeper.shelved(whole);
+                carryOut();
+            });
+        }
+        List<String> tokens = keeper.changes();
+        boolean moved = keeper.moved();
+        if (disk == null) {
+            for (Keeper.Out each : keeper.outs()) out(each.to(), each.message());
+            return;
+        }
+        // So that a start knows how far it had come when all that it wrote since is past its window.
+        if (now.minus(placed).compareTo(PLACES) >= 0 && keeper.number() != placedNumber) moved = true;
+        if (moved) {
+            placed = now;
+            placedNumber = keeper.number();
+        }
+        List<Keeper.Out> say = new ArrayList<>();
+        List<Commit.Write> writes = commit.changed(tokens, moved, keeper.outs(), say);
+        writes.forEach(this::write);
+        for (Keeper.Out each : say) out(each.to(), each.message());
+    }
+
+    private void write(Commit.Write write) {
+        KeeperDisk.Place with = write.token() != null ? KeeperDisk.Place.NONE : new KeeperDisk.Place(claims.heard(), starts);
+        disk.write(write, keeper, with, schedule.now(), durable -> {
+            if (closed) return;
+            for (Keeper.Out each : commit.acked(write, durable, schedule.now())) out(each.to(), each.message());
+        });
+    }
+
+    /** A piece of a long result is asked for: of a run of this server's, or of what it keeps. */
+    private void wanted(String from, CopyMessage.Want want) {
+        String own = claims.result(want.id());
+        if (own != null) piece(from, want, own);
+        else shelf.result(want.token(), want.id(), result -> piece(from, want, result));
+    }
+
+    private void piece(String to, CopyMessage.Want want, String result) {
+        if (closed || result == null) return;
+        CopyMessage.Piece piece = Pieces.cut(want, result);
+        if (piece != null) out(to, piece);
     }
 
     /** What a voter says leaves once what it has promised is on disk. */
@@ -266,6 +433,9 @@
             return;
         }
         Set<String> told = new LinkedHashSet<>(settings.voters());
+        if (each.message() instanceof EpochMessage.WhatIsOpen) {
+            for (Seen seen : view.get()) if (seen.member().state().live()) told.add(seen.member().id().name());
+        }
         if (each.message() instanceof EpochMessage.Agreed agreed) agreed.layout().servers().forEach(one -> told.add(one.name()));
         told.remove(name);
         told.forEach(to -> out(to, each.message()));
@@ -280,6 +450,11 @@
      */
     public void claim(String token, String body, Duration due, Duration windowEnds, Consumer<Verdict> then) {
         asked.add();
+        if (!KeeperDisk.fits(token)) {
+            throttled.add();
+            then.accept(new Verdict(Verdict.What.THROTTLED, null, null));
+            return;
+        }
         Outcome known = near.get(token);
         if (known != null && known.succeeded() && known.body().equals(body) && !known.result().isEmpty()) {
             replayed.add();
@@ -316,9 +491,11 @@
      * @param result null where it did not succeed
      */
     public void ended(ClaimId claim, String body, byte[] result, Duration due, Duration windowEnds, Consumer<Boolean> then) {
-        String kept = result == null || result.length > LONGEST_RESULT ? "" : new String(result, StandardCharsets.ISO_8859_1);
-        Outcome outcome = new Outcome(result != null && result.length <= LONGEST_RESULT, body, kept);
-        claims.ended(claim, outcome, due, windowEnds, schedule.now(), good -> {
+        String kept = result == null ? "" : new String(result, StandardCharsets.ISO_8859_1);
+        // Of one that is longer still only its end is kept: its repeats elsewhere are errored, and never run.
+        boolean succeeded = result != null && kept.length() <= Outcome.LONGEST;
+        Outcome outcome = !succeeded ? new Outcome(false, body, "") : kept.length() > Outcome.INLINE ? Outcome.apart(body, kept) : new Outcome(true, body, kept);
+        claims.ended(claim, outcome, outcome.big() ? kept : null, due, windowEnds, schedule.now(), good -> {
             if (!good) unkept.add();
             then.accept(good);
         });
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -1,8 +1,10 @@
 package ochretiller.fleet.peers;
 
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
 import com.fasterxml.jackson.dataformat.cbor.CBORParser;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +17,7 @@
 import ochretiller.fleet.copies.CopyMessage;
 import ochretiller.fleet.copies.Entry;
 import ochretiller.fleet.copies.Outcome;
+import ochretiller.fleet.copies.Sketch;
 import ochretiller.fleet.epochs.Ballot;
 import ochretiller.fleet.epochs.EpochMessage;
 import ochretiller.fleet.epochs.Layout;
@@ -23,12 +26,14 @@
 final class CopyCodec {
     private static final int EPOCHS = 16;
     private static final int COPIES = 32;
+    private static final byte[] NONE = {};
     private static final List<Class<?>> EPOCH_KINDS = List.of(EpochMessage.Prepare.class, EpochMessage.Promise.class, EpochMessage.Accept.class,
         EpochMessage.Accepted.class, EpochMessage.Refused.class, EpochMessage.Agreed.class, EpochMessage.WhatIsOpen.class, EpochMessage.Open.class,
         EpochMessage.Blank.class, EpochMessage.Fresh.class);
     private static final List<Class<?>> COPY_KINDS = List.of(CopyMessage.Claim.class, CopyMessage.Look.class, CopyMessage.Answer.class,
         CopyMessage.Ended.class, CopyMessage.Kept.class, CopyMessage.Release.class, CopyMessage.Whether.class, CopyMessage.Fetch.class,
-        CopyMessage.Page.class, CopyMessage.Compare.class, CopyMessage.Repair.class);
+        CopyMessage.Page.class, CopyMessage.Compare.class, CopyMessage.Recollect.class, CopyMessage.Recollected.class, CopyMessage.Want.class,
+        CopyMessage.Piece.class);
 
     private CopyCodec() {
     }
@@ -102,16 +107,19 @@
             if (m.other().isPresent()) id(to, m.other().get());
             to.writeBoolean(m.outcome().isPresent());
             if (m.outcome().isPresent()) outcome(to, m.outcome().get());
+            to.writeNumber(m.number());
         } else if (message instanceof CopyMessage.Ended m) {
             to.writeNumber(m.epoch());
             to.writeString(m.token());
             id(to, m.id());
             outcome(to, m.outcome());
             to.writeNumber(m.left().toMillis());
+            heard(to, m.heard());
         } else if (message instanceof CopyMessage.Kept m) {
             to.writeNumber(m.epoch());
             to.writeString(m.token());
             id(to, m.id());
+            to.writeNumber(m.number());
         } else if (message instanceof CopyMessage.Release m) {
             to.writeString(m.token());
             id(to, m.id());
@@ -122,22 +130,41 @@
         } else if (message instanceof CopyMessage.Fetch m) {
             to.writeNumber(m.epoch());
             to.writeNumber(m.range());
-            to.writeString(m.after());
-            layout(to, m.layout());
+            to.writeNumber(m.nonce());
+            to.writeNumber(m.order().ordinal());
+            place(to, m.place());
+            to.writeBinary(m.sketch() == null ? NONE : m.sketch().bytes());
+            layoutOrNone(to, m.layout());
         } else if (message instanceof CopyMessage.Page m) {
             to.writeNumber(m.epoch());
             to.writeNumber(m.range());
-            to.writeString(m.after());
+            to.writeNumber(m.nonce());
             items(to, m.items());
+            place(to, m.place());
             to.writeBoolean(m.last());
             to.writeBoolean(m.whole());
+            to.writeBoolean(m.told());
+            to.writeNumber(m.count());
+            to.writeNumber(m.digest());
         } else if (message instanceof CopyMessage.Compare m) {
             to.writeNumber(m.epoch());
             to.writeNumber(m.range());
             to.writeNumber(m.digest());
-        } else if (message instanceof CopyMessage.Repair m) {
-            to.writeNumber(m.range());
-            items(to, m.items());
+            to.writeBoolean(m.back());
+        } else if (message instanceof CopyMessage.Recollect m) {
+            to.writeNumber(m.nonce());
+        } else if (message instanceof CopyMessage.Recollected m) {
+            to.writeNumber(m.nonce());
+            to.writeNumber(m.number());
+        } else if (message instanceof CopyMessage.Want m) {
+            to.writeString(m.token());
+            id(to, m.id());
+            to.writeNumber(m.from());
+        } else if (message instanceof CopyMessage.Piece m) {
+            to.writeString(m.token());
+            id(to, m.id());
+            to.writeNumber(m.from());
+            to.writeBinary(m.bytes().getBytes(StandardCharsets.ISO_8859_1));
         }
         to.writeEndArray();
     }
@@ -176,20 +203,71 @@
             case 0 -> new CopyMessage.Claim(Codec.number(in), Codec.text(in), id(in), Codec.text(in), millis(in));
             case 1 -> new CopyMessage.Look(Codec.number(in), Codec.text(in), id(in));
             case 2 -> new CopyMessage.Answer(Codec.number(in), Codec.text(in), id(in), word(in), Codec.bool(in) ? Optional.of(id(in)) : Optional.empty(),
-                Codec.bool(in) ? Optional.of(outcome(in)) : Optional.empty());
-            case 3 -> new CopyMessage.Ended(Codec.number(in), Codec.text(in), id(in), outcome(in), millis(in));
-            case 4 -> new CopyMessage.Kept(Codec.number(in), Codec.text(in), id(in));
+                Codec.bool(in) ? Optional.of(outcome(in)) : Optional.empty(), Codec.number(in));
+            case 3 -> new CopyMessage.Ended(Codec.number(in), Codec.text(in), id(in), outcome(in), millis(in), heard(in));
+            case 4 -> new CopyMessage.Kept(Codec.number(in), Codec.text(in), id(in), Codec.number(in));
             case 5 -> new CopyMessage.Release(Codec.text(in), id(in), millis(in));
             case 6 -> new CopyMessage.Whether(Codec.text(in), id(in));
-            case 7 -> new CopyMessage.Fetch(Codec.number(in), range(in), Codec.text(in), layout(in));
-            case 8 -> new CopyMessage.Page(Codec.number(in), range(in), Codec.text(in), items(in), Codec.bool(in), Codec.bool(in));
-            case 9 -> new CopyMessage.Compare(Codec.number(in), range(in), Codec.number(in));
-            default -> new CopyMessage.Repair(range(in), items(in));
+            case 7 -> new CopyMessage.Fetch(Codec.number(in), range(in), Codec.number(in), order(in), place(in), sketch(in), layoutOrNone(in));
+            case 8 -> new CopyMessage.Page(Codec.number(in), range(in), Codec.number(in), items(in), place(in), Codec.bool(in), Codec.bool(in), Codec.bool(in),
+                (int) Codec.number(in), Codec.number(in));
+            case 9 -> new CopyMessage.Compare(Codec.number(in), range(in), Codec.number(in), Codec.bool(in));
+            case 10 -> new CopyMessage.Recollect(Codec.number(in));
+            case 11 -> new CopyMessage.Recollected(Codec.number(in), Codec.number(in));
+            case 12 -> new CopyMessage.Want(Codec.text(in), id(in), (int) Codec.number(in));
+            default -> new CopyMessage.Piece(Codec.text(in), id(in), (int) Codec.number(in), new String(binary(in), StandardCharsets.ISO_8859_1));
         };
     }
 
     // ---- parts
 
+    private static byte[] binary(CBORParser in) throws IOException {
+        if (in.nextToken() != JsonToken.VALUE_EMBEDDED_OBJECT) throw new IllegalArgumentException("no bytes");
+        return in.getBinaryValue();
+    }
+
+    private static Sketch sketch(CBORParser in) throws IOException {
+        byte[] bytes = binary(in);
+        return bytes.length == 0 ? null : Sketch.of(bytes);
+    }
+
+    private static CopyMessage.Order order(CBORParser in) throws IOException {
+        long order = Codec.number(in);
+        if (order < 0 || order >= CopyMessage.Order.values().length) throw new IllegalArgumentException("no order");
+        return CopyMessage.Order.values()[(int) order];
+    }
+
+    private static void place(CBORGenerator to, CopyMessage.Place place) throws IOException {
+        to.writeNumber(place.untilNs());
+        to.writeString(place.token());
+    }
+
+    private static CopyMessage.Place place(CBORParser in) throws IOException {
+        return new CopyMessage.Place(Codec.number(in), Codec.text(in));
+    }
+
+    static void heard(CBORGenerator to, Map<String, Long> heard) throws IOException {
+        to.writeStartArray();
+        for (Map.Entry<String, Long> each : heard.entrySet()) {
+            to.writeStartArray();
+            to.writeString(each.getKey());
+            to.writeNumber(each.getValue());
+            to.writeEndArray();
+        }
+        to.writeEndArray();
+    }
+
+    static Map<String, Long> heard(CBORParser in) throws IOException {
+        Map<String, Long> heard = new TreeMap<>();
+        Codec.list(in, () -> {
+            String name = Codec.text(in);
+            heard.put(name, Codec.number(in));
+            Codec.end(in);
+            return name;
+        });
+        return heard;
+    }
+
     private static Duration millis(CBORParser in) throws IOException {
         return Duration.ofMillis(Math.max(0, Codec.number(in)));
     }
@@ -270,71 +348,82 @@
     private static void outcome(CBORGenerator to, Outcome outcome) throws IOException {
         to.writeBoolean(outcome.succeeded());
         to.writeString(outcome.body());
-        to.writeString(outcome.result());
+        to.writeBinary(outcome.result().getBytes(StandardCharsets.ISO_8859_1));
+        to.writeNumber(outcome.size());
+        to.writeNumber(outcome.sum());
+        to.writeBoolean(outcome.here());
     }
 
     private static Outcome outcome(CBORParser in) throws IOException {
-        return new Outcome(Codec.bool(in), Codec.text(in), Codec.text(in));
+        Outcome outcome = new Outcome(Codec.bool(in), Codec.text(in), new String(binary(in), StandardCharsets.ISO_8859_1), (int) Codec.number(in),
+            Codec.number(in), Codec.bool(in));
+        if (outcome.size() < 0 || outcome.size() > Outcome.LONGEST) throw new IllegalArgumentException("no size");
+        return outcome;
     }
 
     private static void items(CBORGenerator to, List<CopyMessage.Item> items) throws IOException {
         to.writeStartArray();
-        for (CopyMessage.Item item : items) {
-            to.writeStartArray();
-            to.writeString(item.token());
-            to.writeNumber(item.left().toMillis());
+        for (CopyMessage.Item item : items) item(to, item);
+        to.writeEndArray();
+    }
+
+    static void item(CBORGenerator to, CopyMessage.Item item) throws IOException {
+        to.writeStartArray();
+        to.writeString(item.token());
+        to.writeNumber(item.left().toMillis());
+        to.writeStartArray();
+        for (Map.Entry<ClaimId, String> each : item.entry().claims().entrySet()) {
             to.writeStartArray();
-            for (Map.Entry<ClaimId, String> each : item.entry().claims().entrySet()) {
-                to.writeStartArray();
-                id(to, each.getKey());
-                to.writeString(each.getValue());
-                to.writeEndArray();
-            }
+            id(to, each.getKey());
+            to.writeString(each.getValue());
             to.writeEndArray();
+        }
+        to.writeEndArray();
+        to.writeStartArray();
+        for (ClaimId each : item.entry().released()) {
             to.writeStartArray();
-            for (ClaimId each : item.entry().released()) {
-                to.writeStartArray();
-                id(to, each);
-                to.writeEndArray();
-            }
+            id(to, each);
             to.writeEndArray();
+        }
+        to.writeEndArray();
+        to.writeStartArray();
+        for (Map.Entry<ClaimId, Outcome> each : item.entry().outcomes().entrySet()) {
             to.writeStartArray();
-            for (Map.Entry<ClaimId, Outcome> each : item.entry().outcomes().entrySet()) {
-                to.writeStartArray();
-                id(to, each.getKey());
-                outcome(to, each.getValue());
-                to.writeEndArray();
-            }
-            to.writeEndArray();
+            id(to, each.getKey());
+            outcome(to, each.getValue());
             to.writeEndArray();
         }
         to.writeEndArray();
+        to.writeEndArray();
     }
 
     private static List<CopyMessage.Item> items(CBORParser in) throws IOException {
-        return Codec.list(in, () -> {
-            String token = Codec.text(in);
-            Duration left = millis(in);
-            Map<ClaimId, String> claims = new TreeMap<>();
-            Codec.list(in, () -> {
-                claims.put(id(in), Codec.text(in));
-                Codec.end(in);
-                return token;
-            });
-            Set<ClaimId> released = new TreeSet<>();
-            Codec.list(in, () -> {
-                released.add(id(in));
-                Codec.end(in);
-                return token;
-            });
-            Map<ClaimId, Outcome> outcomes = new TreeMap<>();
-            Codec.list(in, () -> {
-                outcomes.put(id(in), outcome(in));
-                Codec.end(in);
-                return token;
-            });
+        return Codec.list(in, () -> item(in));
+    }
+
+    /** The rest of an item whose array has begun. */
+    static CopyMessage.Item item(CBORParser in) throws IOException {
+        String token = Codec.text(in);
+        Duration left = millis(in);
+        Map<ClaimId, String> claims = new TreeMap<>();
+        Codec.list(in, () -> {
+            claims.put(id(in), Codec.text(in));
+            Codec.end(in);
+            return token;
+        });
+        Set<ClaimId> released = new TreeSet<>();
+        Codec.list(in, () -> {
+            released.add(id(in));
+            Codec.end(in);
+            return token;
+        });
+        Map<ClaimId, Outcome> outcomes = new TreeMap<>();
+        Codec.list(in, () -> {
+            outcomes.put(id(in), outcome(in));
             Codec.end(in);
-            return new CopyMessage.Item(token, new Entry(claims, released, outcomes, Duration.ZERO), left);
+            return token;
         });
+        Codec.end(in);
+        return new CopyMessage.Item(token, new Entry(claims, released, outcomes, Duration.ZERO), left);
     }
 }
--- a/src/main/java/ochretiller/fleet/peers/CopySettings.java
+++ b/src/main/java/ochretiller/fleet/peers/CopySettings.java
@@ -11,7 +11,9 @@
  * @param voterFile where this server keeps what it has promised, if it is a voter; null otherwise
  * @param factor    keepers of each token
  * @param most      entries that this server keeps
+ * @param mostBytes of those entries, as reckoned, and half as much for long results that are kept in memory
  * @param calm      how long a server is there, or gone, before it is taken in or out
+ * @param catchUp   bytes a second that are fetched by one that catches up, and as many that are sent to others who do
  */
-public record CopySettings(List<String> voters, Path voterFile, int factor, int most, Duration calm) {
+public record CopySettings(List<String> voters, Path voterFile, int factor, int most, long mostBytes, Duration calm, long catchUp) {
 }
--- a/src/main/java/ochretiller/fleet/peers/Fleet.java
+++ b/src/main/java/ochretiller/fleet/peers/Fleet.java
@@ -23,6 +23,7 @@
 import ochretiller.metrics.Metrics;
 import ochretiller.net.Network;
 import ochretiller.net.Schedule;
+import ochretiller.store.Store;
 
 /** A server's part in its fleet: drives the decisions on the one thread, carries out what they say, tells the operators. */
 public final class Fleet {
@@ -65,10 +66,11 @@
      * @param serves where the server serves, unless the operators say otherwise
      * @param seen   told on the one thread of each other member that is there, or no longer is
      * @param longest the longest window of a token, its client timeout among it
+     * @param store   where copies are kept, not started yet; null where they are kept in memory
      * @param leave   run once the operators' command says so
      */
     public Fleet(Schedule schedule, Network network, FleetSettings settings, String name, String build, Address serves, RandomGenerator chance,
-                 Metrics metrics, Duration longest, BiConsumer<Member, Boolean> seen, Runnable leave) throws IOException {
+                 Metrics metrics, Duration longest, Store store, BiConsumer<Member, Boolean> seen, Runnable leave) throws IOException {
         this.schedule = schedule;
         this.settings = settings;
         this.seen = seen;
@@ -84,7 +86,7 @@
         door = new Door(codec, name, words(leave));
         network.listen("fleet", settings.listen(), door::accepted);
         copies = settings.copies() == null ? null : new Copies(schedule, settings.copies(), name, settings.zone(), start, longest, chance, metrics,
-            this::send, () -> members.view());
+            this::send, () -> members.view(), store);
         changed = metrics.counter("fleet_changes_total", "Changes of state that this server has seen");
         figures(metrics);
     }
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -123,7 +123,7 @@
             new SplittableRandom(configuration.seed() + 1).split(), metrics);
         if (operator.remember().isPresent()) {
             Duration longest = longest();
-            recall = new Recall(loop, operator.remember().get(), disk, longest.plus(SLACK),
+            recall = new Recall(loop, operator.remember().get(), operator.fleet().map(FleetSettings::copies).orElse(null), disk, longest.plus(SLACK),
                 new SplittableRandom(configuration.seed()).split(), metrics);
         } else {
             recall = null;
@@ -145,7 +145,7 @@
         InetSocketAddress at = operator.uwsgi().map(Operator.Uwsgi::listen).orElse(configuration.listen());
         return new Fleet(loop, network, told, configuration.name(), build == null ? "unpackaged" : build,
             new Address(at.getAddress().getHostAddress(), at.getPort()), new SplittableRandom(configuration.seed() + 2), metrics, longest(),
-            (member, there) -> {
+            recall == null ? null : recall.store(), (member, there) -> {
                 if (workers != null && member.serves() != null) workers.seen(member.serves().toString(), there);
             }, () -> new Thread(() -> System.exit(0), "leave").start()); // the hook that a signal would run drains
     }
--- a/src/main/java/ochretiller/node/Recall.java
+++ b/src/main/java/ochretiller/node/Recall.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
+import ochretiller.fleet.peers.CopySettings;
 import ochretiller.front.Try;
 import ochretiller.keys.Keys;
 import ochretiller.metrics.Metrics;
@@ -59,12 +60,16 @@
     /**
      * Takes the folder and reads it; nothing is written yet.
      *
+     * @param copies  what the fleet keeps in the same store, or null
      * @param longest the longest window of an operation and its client timeout: no mark lives longer
      */
-    Recall(Schedule schedule, Operator.Remember remember, Disk disk, Duration longest, SplittableRandom chance, Metrics metrics)
+    Recall(Schedule schedule, Operator.Remember remember, CopySettings copies, Disk disk, Duration longest, SplittableRandom chance, Metrics metrics)
         throws IOException {
         this.schedule = schedule;
-        Limits limits = new Limits(remember.mostEntries(), remember.mostBytes(), remember.mostEntries() * 600L,
+        // What is kept for the fleet has room of its own beside what is remembered here.
+        int most = remember.mostEntries() + (copies == null ? 0 : 2 * copies.most());
+        long bytes = remember.mostBytes() + (copies == null ? 0 : 4 * copies.mostBytes());
+        Limits limits = new Limits(most, bytes, most * 600L,
             remember.segmentBytes(), remember.rollAfter(), remember.copyRate(), 0.5, longest.multipliedBy(4), longest);
         long began = System.nanoTime();
         store = Store.open(disk, limits, Boot.ofMachine(), schedule::post);
@@ -114,6 +119,11 @@
         metrics.counted("ochretiller_store_failures_total", "Failures of the disk", () -> store.stats().failures());
     }
 
+    /** The store, where others keep things in spaces of their own. */
+    Store store() {
+        return store;
+    }
+
     void start() {
         store.start();
         beat();
--- a/src/main/java/ochretiller/operator/OperatorFile.java
+++ b/src/main/java/ochretiller/operator/OperatorFile.java
@@ -95,7 +95,8 @@
         node.get("voters").forEach(each -> voters.add(each.asText()));
         if (new HashSet<>(voters).size() < voters.size()) throw new MalformedException("fleet: a voter is named twice");
         return new CopySettings(List.copyOf(voters), node.has("voter_file") ? Path.of(node.get("voter_file").asText()) : null, node.path("factor").asInt(3),
-            node.path("most_entries").asInt(20_000), millis(node, "calm_ms", 5_000));
+            node.path("most_entries").asInt(20_000), node.path("most_mb").asLong(16) << 20, millis(node, "calm_ms", 5_000),
+            node.path("catch_up_kb_per_s").asLong(2_048) << 10);
     }
 
     private static Address fleetAddress(JsonNode node) {
--- a/src/main/java/ochretiller/store/Store.java
+++ b/src/main/java/ochretiller/store/Store.java
@@ -156,6 +156,34 @@
         return List.copyOf(kept);
     }
 
+    /**
+     * Hands over each live key that begins with this byte, with its value, before {@link #start}; in the order in which they lie on
+     * the disk, so that a start reads each file once.
+     */
+    public void each(byte first, Each with) throws IOException {
+        Map<Segment, List<Index.Slot>> bySegment = new TreeMap<>(Comparator.comparingLong((Segment segment) -> segment.number));
+        long now = now();
+        index.forEach(slot -> {
+            boolean mine = slot.key.bytes.length > 0 && slot.key.bytes[0] == first;
+            if (mine && slot.live() && slot.expires > now) bySegment.computeIfAbsent(slot.segment, ignored -> new ArrayList<>()).add(slot);
+        });
+        for (Map.Entry<Segment, List<Index.Slot>> each : bySegment.entrySet()) {
+            each.getValue().sort(Comparator.comparingInt(slot -> slot.at));
+            try (Disk.File file = disk.open(each.getKey().file())) {
+                for (Index.Slot slot : each.getValue()) {
+                    byte[] value = value(file, slot);
+                    if (value != null) with.kept(slot.key.bytes, value, slot.expires);
+                }
+            }
+        }
+    }
+
+    /** Told of one key with its value. */
+    @FunctionalInterface
+    public interface Each {
+        void kept(byte[] key, byte[] value, long expires);
+    }
+
     /** What the start has found that cannot be read, a line each. */
     public List<String> damage() {
         return damage;
@@ -265,21 +293,25 @@
         Index.Slot slot = index.get(key);
         if (slot == null || !slot.live()) return null;
         try (Disk.File file = disk.open(slot.segment.file())) {
-            ByteBuffer in = ByteBuffer.allocate(slot.size);
-            file.read(in, slot.at);
-            in.flip();
-            // Guards against a bit that went bad since it was written: what is not the record is not handed out.
-            if (Format.look(in) != Format.Place.WHOLE) return null;
-            Format.Entry entry = Format.entry(in);
-            if (entry.sequence() != slot.sequence) return null;
-            byte[] value = new byte[entry.valueLength()];
-            in.get(entry.valueAt(), value);
-            return value;
+            return value(file, slot);
         } catch (IOException e) {
             return null;
         }
     }
 
+    private static byte[] value(Disk.File file, Index.Slot slot) throws IOException {
+        ByteBuffer in = ByteBuffer.allocate(slot.size);
+        file.read(in, slot.at);
+        in.flip();
+        // Guards against a bit that went bad since it was written: what is not the record is not handed out.
+        if (Format.look(in) != Format.Place.WHOLE) return null;
+        Format.Entry entry = Format.entry(in);
+        if (entry.sequence() != slot.sequence) return null;
+        byte[] value = new byte[entry.valueLength()];
+        in.get(entry.valueAt(), value);
+        return value;
+    }
+
     private void serve() {
         List<Task> gathered = new ArrayList<>();
         while (true) {
--- a/src/test/java/ochretiller/fleet/copies/CopiesTest.java
+++ b/src/test/java/ochretiller/fleet/copies/CopiesTest.java
@@ -21,7 +21,7 @@
     private final ClaimId two = new ClaimId("t", 1, 1);
     private final Outcome good = new Outcome(true, "body", "result");
     private final Duration now = Duration.ofSeconds(5);
-    private final Keeper keeper = new Keeper("a", new Keeper.Disk(LAYOUT, Map.of(), Set.of(), Set.of()), LAYOUT, 3, WINDOW, now);
+    private final Keeper keeper = new Keeper("a", new Keeper.Disk(LAYOUT, Map.of()), LAYOUT, 3, WINDOW, now);
 
     private CopyMessage.Answer answer(Keeper of, CopyMessage message) {
         of.received("s", message, now);
@@ -52,7 +52,7 @@
     void onlyThePresentEpochIsAnsweredFor() {
         assertThat(claim(keeper, one, 2)).isEqualTo(CopyMessage.Word.STALE);
         assertThat(claim(keeper, one, 4)).isEqualTo(CopyMessage.Word.BEHIND);
-        keeper.received("s", new CopyMessage.Ended(2, "t", one, good, WINDOW), now);
+        keeper.received("s", new CopyMessage.Ended(2, "t", one, good, WINDOW, Map.of()), now);
         assertThat(keeper.outs()).as("kept, and not counted").isEmpty();
         assertThat(claim(keeper, two, 2)).as("an end is true in any epoch").isEqualTo(CopyMessage.Word.DONE);
     }
@@ -63,7 +63,8 @@
         keeper.tick(now.plus(WINDOW));
         assertThat(keeper.size()).isZero();
         Entry late = Entry.NOTHING.claimed(one, "body", now);
-        keeper.received("b", new CopyMessage.Repair(Layout.range("t"), List.of(new CopyMessage.Item("t", late, Duration.ZERO))), now);
+        keeper.received("b", new CopyMessage.Page(3, Layout.range("t"), 1, List.of(new CopyMessage.Item("t", late, Duration.ZERO)), CopyMessage.Place.START, true, true,
+            true, 1, 0), now);
         assertThat(keeper.size()).isZero();
     }
 
@@ -77,8 +78,8 @@
     @Test
     void aKeeperWithoutItsDiskDoesNotCountUntilTheOthersHaveToldIt() {
         Keeper blank = new Keeper("a", null, LAYOUT, 100, WINDOW, now);
-        Keeper b = new Keeper("b", new Keeper.Disk(LAYOUT, Map.of(), Set.of(), Set.of()), LAYOUT, 100, WINDOW, now);
-        Keeper c = new Keeper("c", new Keeper.Disk(LAYOUT, Map.of(), Set.of(), Set.of()), LAYOUT, 100, WINDOW, now);
+        Keeper b = new Keeper("b", new Keeper.Disk(LAYOUT, Map.of()), LAYOUT, 100, WINDOW, now);
+        Keeper c = new Keeper("c", new Keeper.Disk(LAYOUT, Map.of()), LAYOUT, 100, WINDOW, now);
         claim(b, one, 3);
         assertThat(claim(blank, two, 3)).isEqualTo(CopyMessage.Word.BEHIND);
         for (int i = 0; i < 200; i++) exchange(blank, Map.of("b", b));
@@ -91,8 +92,8 @@
     @Test
     void aRangeIsFetchedPageByPageBeforeANewKeeperCounts() {
         Layout next = LAYOUT.with(new Layout.Server("d", "4"));
-        Keeper b = new Keeper("b", new Keeper.Disk(LAYOUT, Map.of(), Set.of(), Set.of()), LAYOUT, 10_000, WINDOW, now);
-        Keeper c = new Keeper("c", new Keeper.Disk(LAYOUT, Map.of(), Set.of(), Set.of()), LAYOUT, 10_000, WINDOW, now);
+        Keeper b = new Keeper("b", new Keeper.Disk(LAYOUT, Map.of()), LAYOUT, 10_000, WINDOW, now);
+        Keeper c = new Keeper("c", new Keeper.Disk(LAYOUT, Map.of()), LAYOUT, 10_000, WINDOW, now);
         List<String> tokens = new ArrayList<>();
         for (int i = 0; tokens.size() < 100; i++) {
             String token = "t" + i;
@@ -156,8 +157,8 @@
 
     @Test
     void twoEndsOfOneTokenAreKeptCountedAndAnsweredInOneWay() {
-        keeper.received("s", new CopyMessage.Ended(3, "t", two, new Outcome(true, "body", "second"), WINDOW), now);
-        keeper.received("s", new CopyMessage.Ended(3, "t", one, good, WINDOW), now);
+        keeper.received("s", new CopyMessage.Ended(3, "t", two, new Outcome(true, "body", "second"), WINDOW, Map.of()), now);
+        keeper.received("s", new CopyMessage.Ended(3, "t", one, good, WINDOW, Map.of()), now);
         keeper.outs();
         assertThat(keeper.conflicts()).isEqualTo(1);
         assertThat(answer(keeper, new CopyMessage.Look(3, "t", two)).outcome()).contains(good);
@@ -175,7 +176,7 @@
     }
 
     private void says(String keeperName, ClaimId id, CopyMessage.Word word, Optional<ClaimId> other, Optional<Outcome> outcome) {
-        claims.received(keeperName, new CopyMessage.Answer(3, "t", id, word, other, outcome), now);
+        claims.received(keeperName, new CopyMessage.Answer(3, "t", id, word, other, outcome, 1), now);
     }
 
     private Verdict.What only() {
@@ -197,7 +198,7 @@
     @Test
     void aGrantOfAnotherEpochCountsForNothing() {
         ClaimId id = begin();
-        claims.received("a", new CopyMessage.Answer(2, "t", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty()), now);
+        claims.received("a", new CopyMessage.Answer(2, "t", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty(), 1), now);
         says("b", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty());
         assertThat(verdicts).isEmpty();
     }
@@ -246,7 +247,7 @@
     void aServerThatSleptRunsNothingOld() {
         ClaimId id = begin();
         says("a", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty());
-        claims.received("b", new CopyMessage.Answer(3, "t", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty()), now.plusSeconds(60));
+        claims.received("b", new CopyMessage.Answer(3, "t", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty(), 1), now.plusSeconds(60));
         assertThat(only()).isEqualTo(Verdict.What.THROTTLED);
     }
 
@@ -279,15 +280,15 @@
         says("a", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty());
         says("b", id, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty());
         List<Boolean> kept = new ArrayList<>();
-        claims.ended(id, good, now.plusSeconds(2), now.plus(WINDOW), now, kept::add);
-        claims.received("a", new CopyMessage.Kept(3, "t", id), now);
+        claims.ended(id, good, null, now.plusSeconds(2), now.plus(WINDOW), now, kept::add);
+        claims.received("a", new CopyMessage.Kept(3, "t", id, 1), now);
         assertThat(kept).isEmpty();
-        claims.received("c", new CopyMessage.Kept(3, "t", id), now);
+        claims.received("c", new CopyMessage.Kept(3, "t", id, 1), now);
         assertThat(kept).containsExactly(true);
         ClaimId other = begin();
         says("a", other, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty());
         says("b", other, CopyMessage.Word.GRANTED, Optional.empty(), Optional.empty());
-        claims.ended(other, good, now.plusSeconds(2), now.plus(WINDOW), now, kept::add);
+        claims.ended(other, good, null, now.plusSeconds(2), now.plus(WINDOW), now, kept::add);
         claims.tick(now.plusSeconds(2));
         assertThat(kept).as("by its due time, whatever is known").containsExactly(true, false);
     }
--- a/src/test/java/ochretiller/fleet/epochs/VoterTest.java
+++ b/src/test/java/ochretiller/fleet/epochs/VoterTest.java
@@ -112,10 +112,15 @@
         collect("a");
         settle();
         assertThat(voters.get("b").agreed().epoch()).as("nobody votes before it knows").isZero();
-        voters.get("a").ask();
-        collect("a");
-        settle();
+        for (int round = 0; round < 4; round++) {
+            assertThat(voters.get("a").blank()).as("servers that know of an epoch have the time to say so").isTrue();
+            voters.get("a").received("x", new EpochMessage.Agreed(new Layout(7, List.of(server("x")), List.of(), 3)));
+            voters.get("a").ask();
+            collect("a");
+            settle();
+        }
         assertThat(voters.values()).noneMatch(Voter::blank);
+        assertThat(voters.get("a").agreed().epoch()).as("they go on from the last that anybody knew of").isEqualTo(7);
         voters.get("b").received("a", new EpochMessage.Fresh(Map.of("a", 1L, "b", 77L, "c", 3L)));
         Voter again = new Voter("b", NAMES, null, 3, false, 99);
         again.received("a", new EpochMessage.Fresh(Map.of("a", 1L, "b", 2L, "c", 3L)));
--- a/src/test/java/ochretiller/fleet/peers/CodecTest.java
+++ b/src/test/java/ochretiller/fleet/peers/CodecTest.java
@@ -15,6 +15,7 @@
 import ochretiller.fleet.copies.ClaimId;
 import ochretiller.fleet.copies.CopyMessage;
 import ochretiller.fleet.copies.Outcome;
+import ochretiller.fleet.copies.Sketch;
 import ochretiller.fleet.epochs.Ballot;
 import ochretiller.fleet.epochs.EpochMessage;
 import ochretiller.fleet.epochs.Layout;
@@ -69,11 +70,14 @@
             new EpochMessage.Accept(1, ballot, layout), new EpochMessage.Accepted(1, ballot), new EpochMessage.Refused(1, ballot, ballot),
             new EpochMessage.Agreed(layout), new EpochMessage.WhatIsOpen(9), new EpochMessage.Open(9, 8, layout), new EpochMessage.Blank(1, -2),
             new EpochMessage.Fresh(Map.of("a", 1L, "b", -2L)), new CopyMessage.Claim(4, "x", id, "body", Duration.ofMillis(7)), new CopyMessage.Look(4, "x", id),
-            new CopyMessage.Answer(4, "x", id, CopyMessage.Word.HELD, Optional.of(id), Optional.empty()),
-            new CopyMessage.Answer(4, "x", id, CopyMessage.Word.DONE, Optional.empty(), Optional.of(outcome)),
-            new CopyMessage.Ended(4, "x", id, outcome, Duration.ofMillis(7)), new CopyMessage.Kept(4, "x", id), new CopyMessage.Release("x", id, Duration.ofMillis(7)),
-            new CopyMessage.Whether("x", id), new CopyMessage.Fetch(4, 255, "x", layout), new CopyMessage.Page(4, 0, "", items, true, false),
-            new CopyMessage.Compare(4, 7, -9), new CopyMessage.Repair(7, items));
+            new CopyMessage.Answer(4, "x", id, CopyMessage.Word.HELD, Optional.of(id), Optional.empty(), 17),
+            new CopyMessage.Answer(4, "x", id, CopyMessage.Word.DONE, Optional.empty(), Optional.of(outcome), -1),
+            new CopyMessage.Ended(4, "x", id, Outcome.apart("body", "r".repeat(9_000)), Duration.ofMillis(7), Map.of("a", 5L)), new CopyMessage.Kept(4, "x", id, 8), new CopyMessage.Release("x", id, Duration.ofMillis(7)),
+            new CopyMessage.Whether("x", id), new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.NEWEST, new CopyMessage.Place(Long.MAX_VALUE, ""), null, layout),
+            new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.TOKEN, new CopyMessage.Place(-5, "x"), Sketch.of(new byte[42]), null),
+            new CopyMessage.Page(4, 0, 3, items, new CopyMessage.Place(7, "y"), true, false, true, 12, -3), new CopyMessage.Compare(4, 7, -9, true),
+            new CopyMessage.Recollect(3), new CopyMessage.Recollected(3, 9), new CopyMessage.Want("x", id, 3_072),
+            new CopyMessage.Piece("x", id, 3_072, "caf\u00e9"));
     }
 
     @Test
