--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.Plan;
 import ochretiller.standin.Daemon;
 import ochretiller.standin.Gateways;
@@ -55,6 +56,8 @@
         this.folder = Files.createDirectories(folder.resolve("server-" + slot.number()));
         this.history = history;
         Files.deleteIfExists(this.folder.resolve("voter")); // of another run
+        Disks.delete(store());
+        Disks.delete(image());
         this.serves = freePort();
         outside = new StandIns("127.0.0.1", new int[3], line -> { }, report -> { });
         outside.runs = (rid, operation, body) -> {
@@ -63,6 +66,34 @@
         };
     }
 
+    private Path store() {
+        return folder.resolve("store");
+    }
+
+    private Path image() {
+        return folder.resolve("image");
+    }
+
+    /** Takes an image of its disk as it is, in the midst of whatever is written. */
+    void image(boolean takes) throws IOException {
+        if (!takes) return;
+        Disks.delete(image());
+        Disks.copy(store(), image());
+    }
+
+    /** Makes its disk what the script says, while it is down; what a voter has promised is on another disk. */
+    void disk(FleetScript.Disk what) throws IOException {
+        switch (what) {
+            case EMPTY -> Disks.delete(store());
+            case OLD -> {
+                Disks.delete(store());
+                Disks.copy(image(), store());
+            }
+            case CUT -> Disks.cut(store());
+            default -> { }
+        }
+    }
+
     /** What happens from here on is noted there. */
     void become(History next) {
         history = next;
@@ -92,8 +123,9 @@
      * @param on     whether it takes part in a fleet at all
      * @param clockS seconds that its clock is set back
      * @param voters how many of the first servers agree on epochs; 0 where the fleet keeps no copies
+     * @param stores whether it remembers results on its disk
      */
-    void start(int listen, int advertise, List<Integer> seeds, int probeMs, boolean on, double clockS, int voters) throws IOException {
+    void start(int listen, int advertise, List<Integer> seeds, int probeMs, boolean on, double clockS, int voters, boolean stores) throws IOException {
         Path config = folder.resolve("config.json");
         Files.writeString(config, Gateways.config(serves, outside.processorPort(), outside.recordsPort(), outside.rosterPort())
             .replace("\"name\":\"n1\"", "\"name\":\"" + slot.name() + "\"").replace("\"memory_mb\":192", "\"memory_mb\":" + MEMORY_MB));
@@ -102,7 +134,7 @@
         Path operator = folder.resolve("operator.json5");
         List<String> told = new ArrayList<>();
         for (int port : seeds) told.add("'127.0.0.1:" + port + "'");
-        Files.writeString(operator, "{ metrics: { file: '" + folder.resolve("metrics.prom") + "', every_ms: 1000 }," + (on ? """
+        Files.writeString(operator, "{ metrics: { file: '" + folder.resolve("metrics.prom") + "', every_ms: 1000 }," + (stores ? "remember: { folder: '" + store() + "' }," : "") + (on ? """
             fleet: { name: 'drill', listen: '127.0.0.1:%d', advertise: '127.0.0.1:%d', key_file: '%s', seeds: [%s], zone: 'z%d', probe_ms: %d%s }
             """.formatted(listen, advertise, key, String.join(",", told), slot.zone(), probeMs, copies(voters)) : "")
             + (clockS == 0 ? "" : ", drill: { clock_ms: " + (long) (-clockS * 1000) + " }") + "}");
--- a/drill/src/main/java/ochretiller/drill/Checker.java
+++ b/drill/src/main/java/ochretiller/drill/Checker.java
@@ -1,5 +1,8 @@
 package ochretiller.drill;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,6 +17,7 @@
 
 /** Holds a history against the rules. It reads the history and the script, and nothing of the program. */
 final class Checker {
+    private static final ObjectMapper JSON = new ObjectMapper();
     /** A process that was let go this lately may still be judged by what it did not answer. */
     private static final double GRACE_S = 2;
     /** Billed value is earned within so long. */
@@ -43,6 +47,7 @@
         for (History.Event event : events) voided |= event.what() == History.What.VOID;
         views();
         answers();
+        copies();
         if (script.expect().valueShare() > 0 && valueShare() < script.expect().valueShare()) {
             broken.add(String.format(Locale.ROOT, "value: %.4f of the billed value, under %.4f", valueShare(), script.expect().valueShare()));
         }
@@ -204,6 +209,30 @@
         return true;
     }
 
+    // ---- copies
+
+    /** At the end, with all faults healed and all ranges compared, the keepers of a range have the same of it, and all of it. */
+    private void copies() {
+        Map<String, String> first = new HashMap<>();
+        for (History.Event event : events) {
+            if (event.what() != History.What.COPIES) continue;
+            if (event.text().equals("none")) {
+                broken.add("copies: server " + event.slot() + " did not tell what it keeps");
+                continue;
+            }
+            try {
+                for (Map.Entry<String, JsonNode> range : JSON.readTree(event.text()).properties()) {
+                    String digest = range.getValue().get(1).asText();
+                    String other = first.putIfAbsent(range.getKey(), digest);
+                    if (!range.getValue().get(2).asBoolean()) broken.add("copies: range " + range.getKey() + " is not whole at server " + event.slot());
+                    else if (other != null && !other.equals(digest)) broken.add("copies: server " + event.slot() + " has range " + range.getKey() + " otherwise than another");
+                }
+            } catch (IOException e) {
+                broken.add("copies: what server " + event.slot() + " told is no JSON");
+            }
+        }
+    }
+
     // ---- answers and runs
 
     private void answers() {
--- a/drill/src/main/java/ochretiller/drill/History.java
+++ b/drill/src/main/java/ochretiller/drill/History.java
@@ -28,6 +28,8 @@
         ASKED, ANSWERED,
         /** A stand-in was told to run one. */
         RAN,
+        /** What a server keeps at the end, by range: how many entries, a digest of them, whether it is whole. */
+        COPIES,
         /** The script could not be carried out as it is written. */
         VOID,
         /** The script has ended. */
--- a/drill/src/main/java/ochretiller/drill/Stage.java
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -1,11 +1,15 @@
 package ochretiller.drill;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -19,6 +23,7 @@
 import ochretiller.emulator.fleet.Faults;
 import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.Plan;
+import ochretiller.fleet.peers.FleetClient;
 import ochretiller.standin.Daemon;
 
 /** Plays a script on processes: starts them, puts the faults on, watches, and ends with all faults healed. */
@@ -32,6 +37,10 @@
     private static final int WATCH_MS = 100;
     /** Ranges are whole so soon behind an epoch. */
     private static final double SETTLED_S = 1.5;
+    /** Copies are the same so soon behind a comparison of all of them; and how often that is looked at. */
+    private static final double COPIES_S = 25;
+    private static final int COMPARE_MS = 250;
+    private static final ObjectMapper JSON = new ObjectMapper();
 
     private final FleetScript script;
     private final Plan plan;
@@ -108,6 +117,7 @@
         double bound = Math.max(script.seconds(), last + Math.max(script.expect().settledS(), 5) + STAYS_S);
         settle(bound, last);
         load.end();
+        if (copiesOn) compare();
         history.add(History.What.OVER, 0, "", "");
         return history;
     }
@@ -179,7 +189,7 @@
             seeds.add(relayed.get(i));
         }
         box.start(listen, relayed.get(action.address()), seeds, script.probeMs(), viewOn,
-            clock(action), copiesOn ? Math.min(3, script.members()) : 0);
+            clock(action), copiesOn ? Math.min(3, script.members()) : 0, copiesOn && script.store());
     }
 
     private double clock(Plan.Action action) {
@@ -202,9 +212,12 @@
         switch (action.act()) {
             case START -> {
                 Integer before = addressOf.get(action.slot());
+                box.awaitEnd();
+                if (script.store() && copiesOn) box.disk(action.disk());
                 start(action);
                 if (viewOn && (before == null || before != action.address())) watch(box);
             }
+            case IMAGE -> box.image(script.store() && copiesOn);
             case KILL -> box.kill();
             case PAUSE -> box.pause();
             case RESUME -> box.resume();
@@ -213,6 +226,41 @@
         }
     }
 
+    /** All copies are compared at all servers' doors, until they are the same or the bound has come; how they are is noted. */
+    private void compare() throws InterruptedException {
+        double bound = history.now() + COPIES_S;
+        Map<Integer, JsonNode> told = new TreeMap<>();
+        for (Box box : boxes.values()) if (box.up) door(box, "copies-repair");
+        while (history.now() < bound) {
+            told.clear();
+            for (Box box : boxes.values()) if (box.up) told.put(box.slot.number(), door(box, "copies-digests"));
+            if (!told.containsValue(null) && same(told.values())) break;
+            Thread.sleep(COMPARE_MS);
+        }
+        told.forEach((slot, digests) -> history.add(History.What.COPIES, slot, boxes.get(slot).start, digests == null ? "none" : digests.get("ranges").toString()));
+    }
+
+    private JsonNode door(Box box, String word) {
+        Integer address = addressOf.get(box.slot.number());
+        try (FleetClient client = new FleetClient(new InetSocketAddress(InetAddress.getLoopbackAddress(), real.get(address)), "drill", Watch.KEYS)) {
+            return JSON.readTree(client.ask(word));
+        } catch (IOException e) {
+            progress.accept("server " + box.slot.number() + " cannot be asked: " + e.getMessage());
+            return null;
+        }
+    }
+
+    private static boolean same(Collection<JsonNode> told) {
+        Map<String, JsonNode> first = new HashMap<>();
+        for (JsonNode each : told) {
+            for (Map.Entry<String, JsonNode> range : each.get("ranges").properties()) {
+                JsonNode before = first.putIfAbsent(range.getKey(), range.getValue());
+                if (before != null && !before.equals(range.getValue()) || !range.getValue().get(2).asBoolean()) return false;
+            }
+        }
+        return true;
+    }
+
     /** Faults that are not the links' own: crowds on the cores, floods at a port. */
     private void put(Plan.Fault fault) {
         if (fault.what() == Plan.Link.CROWD) {
--- a/drill/src/main/java/ochretiller/drill/Watch.java
+++ b/drill/src/main/java/ochretiller/drill/Watch.java
@@ -15,7 +15,7 @@
     /** Asks on one connection, fewer than the server answers there. */
     private static final int ASKS = 90;
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final FleetKeys KEYS = FleetKeys.of("a key that only drills have");
+    static final FleetKeys KEYS = FleetKeys.of("a key that only drills have");
 
     private final Box box;
     private final int port;
--- a/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
@@ -204,7 +204,7 @@
             if (sickDisks && chance.nextInt(6) == 0) sickUntilS = events.seconds() + 30 * chance.nextDouble() + SICK_S;
             own = new Claims(name, life, known, chance.split());
             own.remember(disk.heard);
-            wish = new Wish(CALM, FACTOR);
+            wish = new Wish(CALM, BOUNDS.longest(), FACTOR);
             if (voter != null && known.epoch() > 0) voter.received(name, new EpochMessage.Agreed(known));
             tick(life);
             speak(life);
@@ -335,6 +335,10 @@
             if (!paused && voter != null && !voter.blank() && voter.agreed().epoch() > 0) {
                 for (Host each : hosts.values()) if (each != this) send(each.number, new EpochMessage.Agreed(voter.agreed()));
             }
+            if (!paused && keeper != null) {
+                EpochMessage.Standing standing = new EpochMessage.Standing(keeper.layout().epoch(), keeper.returning() ? Layout.RANGES : keeper.behind());
+                for (int i = 1; i <= Math.min(VOTERS, script.members()); i++) send(i, standing);
+            }
             events.after(SPEAKS, () -> speak(mine));
         }
 
@@ -351,6 +355,7 @@
             Duration now = events.now();
             if (sent.message instanceof EpochMessage message) {
                 if (voter != null) voter.received(sent.from, message);
+                if (message instanceof EpochMessage.Standing standing) wish.told(sent.from, standing);
                 if (message instanceof EpochMessage.Agreed agreed) learn(agreed.layout());
                 long mine = own.layout().epoch();
                 boolean asks = message instanceof EpochMessage.WhatIsOpen || message instanceof EpochMessage.Agreed agreed && agreed.layout().epoch() < mine;
@@ -497,6 +502,7 @@
             case START -> {
                 if (!host.up) host.start(host.everUp && chance.nextDouble() >= lostDisks || !host.everUp);
             }
+            case IMAGE -> { }
             case KILL, LEAVE -> {
                 if (host.up) host.end();
             }
--- a/emulator/src/main/java/ochretiller/emulator/fleet/Drawn.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/Drawn.java
@@ -25,10 +25,10 @@
         List<FleetScript.Incident> incidents = new ArrayList<>();
         int count = 1 + chance.nextInt(6);
         for (int i = 0; i < count; i++) incidents.add(incident(chance, members));
-        FleetScript free = new FleetScript("drawn-" + seed, 1, members, zones, SEEDS, 3 * chance.nextDouble(), 100, 0.3, 0.3, false,
+        FleetScript free = new FleetScript("drawn-" + seed, 1, members, zones, SEEDS, 3 * chance.nextDouble(), 100, 0.3, 0.3, false, false,
             new FleetScript.Load(0, 0), incidents, FleetScript.Expect.NOTHING);
         double last = Plan.of(free).lastS();
-        return new FleetScript(free.name(), last + settledS + 15, members, zones, SEEDS, free.startS(), 100, 0.3, 0.3, false, free.load(), incidents,
+        return new FleetScript(free.name(), last + settledS + 15, members, zones, SEEDS, free.startS(), 100, 0.3, 0.3, false, false, free.load(), incidents,
             new FleetScript.Expect(settledS, -1, -1, 0));
     }
 
@@ -45,7 +45,7 @@
                 "crowd").contains(each.what());
             if (plays && (each.forS() > 0 || !each.what().equals("leave"))) incidents.add(each);
         }
-        return new FleetScript("copies-" + seed, 100, members, zones, 2, 1, 100, 0.3, 0.3, true, new FleetScript.Load(0, 0), incidents,
+        return new FleetScript("copies-" + seed, 100, members, zones, 2, 1, 100, 0.3, 0.3, true, true, new FleetScript.Load(0, 0), incidents,
             FleetScript.Expect.NOTHING);
     }
 
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetMeasure.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetMeasure.java
@@ -32,7 +32,7 @@
     }
 
     private static FleetScript script(String name, int members, double seconds, List<FleetScript.Incident> incidents) {
-        return new FleetScript(name, seconds, members, 3, 5, JOIN_S, 100, 0.3, 0.3, false, new FleetScript.Load(0, 0), incidents,
+        return new FleetScript(name, seconds, members, 3, 5, JOIN_S, 100, 0.3, 0.3, false, false, new FleetScript.Load(0, 0), incidents,
             FleetScript.Expect.NOTHING);
     }
 
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetScript.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetScript.java
@@ -10,10 +10,11 @@
  *
  * @param startS  time over which the members start
  * @param copies  whether the fleet keeps claims and results of tokened invocations; the drill's alone
+ * @param store   whether each server remembers results, and keeps its copies, on a disk
  * @param expect  what is to come out
  */
 public record FleetScript(String name, double seconds, int members, int zones, int seeds, double startS, int probeMs, double delayMs,
-                          double jitterMs, boolean copies, Load load, List<Incident> incidents, Expect expect) {
+                          double jitterMs, boolean copies, boolean store, Load load, List<Incident> incidents, Expect expect) {
     /**
      * What callers send to all members together while it is played; the drill sends it, the emulator has no callers here.
      */
@@ -27,11 +28,18 @@
      * @param who      members, as {@code all}, {@code 2-5}, {@code z1}, {@code 1/3} (the last third), or some of them with commas
      * @param from     senders, for faults of links; all where it is empty
      * @param to       receivers
-     * @param strength share, milliseconds, count or rate, as its kind says
+     * @param strength share, milliseconds, count or rate, as its kind says; for an old disk, the seconds by which it is old
+     * @param disk     what a server finds that starts again: all it had, nothing, an image of some time ago, or all but its last bytes
      */
-    public record Incident(double atS, double forS, String what, String who, String from, String to, double strength) {
+    public record Incident(double atS, double forS, String what, String who, String from, String to, double strength, Disk disk) {
+        public Incident(double atS, double forS, String what, String who, String from, String to, double strength) {
+            this(atS, forS, what, who, from, to, strength, Disk.KEPT);
+        }
     }
 
+    /** What is left of a disk. */
+    public enum Disk { KEPT, EMPTY, OLD, CUT }
+
     /**
      * @param settledS      longest time behind the last fault until all views are equal and right; 0 for no bound
      * @param falseVerdicts most verdicts on members that were alive and could be heard; negative for no bound
@@ -76,6 +84,6 @@
 
     /** The same with another number of members. */
     public FleetScript sized(int count) {
-        return new FleetScript(name, seconds, count, zones, seeds, startS, probeMs, delayMs, jitterMs, copies, load, incidents, expect);
+        return new FleetScript(name, seconds, count, zones, seeds, startS, probeMs, delayMs, jitterMs, copies, store, load, incidents, expect);
     }
 }
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetScriptFile.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetScriptFile.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import ochretiller.json5.Json5;
 import ochretiller.settings.MalformedException;
 
@@ -31,11 +32,12 @@
         List<FleetScript.Incident> incidents = new ArrayList<>();
         root.path("incidents").forEach(each -> incidents.add(new FleetScript.Incident(each.path("at_s").asDouble(), each.path("for_s").asDouble(0),
             each.path("what").asText(), each.path("who").asText(""), each.path("from").asText(""), each.path("to").asText(""),
-            each.path("strength").asDouble(1))));
+            each.path("strength").asDouble(1), FleetScript.Disk.valueOf(each.path("disk").asText("kept").toUpperCase(Locale.ROOT)))));
         int members = root.path("members").asInt();
         FleetScript script = new FleetScript(root.path("name").asText(file), root.path("seconds").asDouble(), members,
             root.path("zones").asInt(1), Math.min(members, root.path("seeds").asInt(2)), root.path("start_s").asDouble(1),
             root.path("probe_ms").asInt(100), net.path("delay_ms").asDouble(0.3), net.path("jitter_ms").asDouble(0.3), root.path("copies").asBoolean(false),
+            root.path("store").asBoolean(false),
             new FleetScript.Load(load.path("per_second").asDouble(0), load.path("work_ms").asDouble(5)), List.copyOf(incidents),
             new FleetScript.Expect(expect.path("settled_s").asDouble(0), expect.path("false_verdicts").asInt(-1),
                 expect.path("changes_each").asInt(-1), expect.path("value_share").asDouble(0)));
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetWorld.java
@@ -198,6 +198,7 @@
                 end(host);
                 lastKill = events.seconds();
             }
+            case IMAGE -> { }
             case PAUSE -> {
                 if (host == null || !host.up) return;
                 host.paused = true;
--- a/emulator/src/main/java/ochretiller/emulator/fleet/Plan.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/Plan.java
@@ -17,7 +17,7 @@
  */
 public record Plan(List<Slot> slots, List<Action> actions, List<Fault> faults, double lastS) {
     /** What is done to a process. */
-    public enum Act { START, KILL, PAUSE, RESUME, LEAVE }
+    public enum Act { START, KILL, PAUSE, RESUME, LEAVE, IMAGE }
 
     /** What a link does. */
     public enum Link { CUT, LOSS, DELAY, DUPLICATE, REORDER, CORRUPT, CROWD, FLOOD, CLOCK }
@@ -33,8 +33,9 @@
 
     /**
      * @param address where a {@link Act#START} has it listen
+     * @param disk    what a {@link Act#START} finds; for an old one an {@link Act#IMAGE} was taken before
      */
-    public record Action(double atS, Act act, int slot, int address) {
+    public record Action(double atS, Act act, int slot, int address, FleetScript.Disk disk) {
     }
 
     /** A fault of links, from senders to receivers, or of servers ({@code to}). */
@@ -70,7 +71,11 @@
         }
 
         private void act(double at, Act act, int slot, int address) {
-            actions.add(new Action(at, act, slot, address));
+            act(at, act, slot, address, FleetScript.Disk.KEPT);
+        }
+
+        private void act(double at, Act act, int slot, int address, FleetScript.Disk disk) {
+            actions.add(new Action(at, act, slot, address, disk));
             last = Math.max(last, at);
         }
 
@@ -88,7 +93,7 @@
         Plan build() {
             for (int i = 1; i <= script.members(); i++) {
                 slot("m" + i, script.zone(i), ++addresses);
-                actions.add(new Action(script.members() == 1 ? 0 : script.startS() * (i - 1) / (script.members() - 1), Act.START, i, i));
+                actions.add(new Action(script.members() == 1 ? 0 : script.startS() * (i - 1) / (script.members() - 1), Act.START, i, i, FleetScript.Disk.KEPT));
                 last = script.startS();
             }
             for (FleetScript.Incident each : script.incidents()) expand(each);
@@ -104,8 +109,9 @@
             Set<Integer> to = script.members(each.to());
             switch (each.what()) {
                 case "kill" -> who.forEach(i -> {
+                    if (each.disk() == FleetScript.Disk.OLD) act(Math.max(0, at - each.strength()), Act.IMAGE, i, i);
                     act(at, Act.KILL, i, i);
-                    if (each.forS() > 0) act(end, Act.START, i, i);
+                    if (each.forS() > 0) act(end, Act.START, i, i, each.disk());
                 });
                 case "move" -> who.forEach(i -> {
                     act(at, Act.KILL, i, i);
@@ -128,7 +134,7 @@
                     int n = 0;
                     for (int i : who) {
                         act(at + each1 * n, Act.LEAVE, i, i);
-                        act(at + each1 * n++ + Math.max(each1, LEAVES_S + 0.1), Act.START, i, i);
+                        act(at + each1 * n++ + Math.max(each1, LEAVES_S + 0.1), Act.START, i, i, each.disk());
                     }
                 }
                 case "join" -> {
--- a/emulator/src/test/java/ochretiller/emulator/FleetTest.java
+++ b/emulator/src/test/java/ochretiller/emulator/FleetTest.java
@@ -64,7 +64,7 @@
     void aFaultThatNeverEndsIsSeenToLeaveViewsWrong() {
         FleetScript script = FleetScriptFile.of("{ seconds: 40, members: 6, zones: 2, incidents: [ { at_s: 5, for_s: 5, what: 'cut', who: 'z1' } ] }", "cut");
         assertThat(new FleetWorld(script, 1).play().settledS).isFinite();
-        FleetScript never = new FleetScript("never", 40, 6, 2, 2, 1, 100, 0.3, 0.3, false, script.load(),
+        FleetScript never = new FleetScript("never", 40, 6, 2, 2, 1, 100, 0.3, 0.3, false, false, script.load(),
             List.of(new FleetScript.Incident(5, 100, "cut", "z1", "", "", 1)), new FleetScript.Expect(SETTLED_S, 0, 0, 0));
         assertThat(new FleetWorld(never, 1).play().missed(never.expect())).anyMatch(line -> line.startsWith("settled"))
             .anyMatch(line -> line.contains("changes of verdict"));
--- a/src/main/java/ochretiller/commands/FleetCommand.java
+++ b/src/main/java/ochretiller/commands/FleetCommand.java
@@ -42,6 +42,15 @@
         @Option(names = "--json", description = "Say it as JSON.")
         boolean json;
 
+        /** The same at another server of the fleet. */
+        Whom at(String address) {
+            Whom other = new Whom();
+            other.operator = operator;
+            other.json = json;
+            other.at = address;
+            return other;
+        }
+
         FleetClient dial() throws IOException {
             FleetSettings settings = OperatorFile.read(operator).fleet()
                 .orElseThrow(() -> new MalformedException(operator + " has no fleet"));
--- a/src/main/java/ochretiller/commands/StoreCommand.java
+++ b/src/main/java/ochretiller/commands/StoreCommand.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.function.Consumer;
+import ochretiller.fleet.peers.KeeperDisk;
 import ochretiller.remembered.Mark;
 import ochretiller.store.Disk;
 import ochretiller.store.Inspect;
@@ -112,11 +113,14 @@
                     line.put("token", mark.token()).put("state", mark.state().name()).put("operation", mark.operation())
                         .put("rid", mark.rid()).put("until", mark.until());
                 } else {
-                    line.put("key", item.key());
+                    String about = KeeperDisk.about(item.key());
+                    if (about == null) line.put("key", item.key());
+                    else line.put("about", about);
                 }
                 say(line.put("expires", item.expires()).put("file", item.file()).put("at", item.at()).put("bytes", item.bytes()));
             } else if (mark == null) {
-                say("a key of " + item.key().length + " bytes that is no mark, in " + item.file() + " at " + item.at());
+                String about = KeeperDisk.about(item.key());
+                say((about == null ? "a key of " + item.key().length + " bytes that is no mark" : about) + ", in " + item.file() + " at " + item.at());
             } else {
                 say(mark.token() + " " + mark.state() + " " + mark.operation() + " run " + mark.rid() + ", " + item.bytes()
                     + " bytes in " + item.file());
--- a/src/main/java/ochretiller/fleet/copies/Claims.java
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -451,6 +451,19 @@
         tell(id, ending, now);
     }
 
+    /** A claim of a former start of this server is known never to have run: its keepers are told. */
+    public void formerNeverRan(String token, ClaimId id, Duration windowEnds, Duration now) {
+        releasedIds.put(id, windowEnds);
+        for (String keeper : keepers(token)) send(keeper, new CopyMessage.Release(token, id, until(windowEnds, now)));
+    }
+
+    /** A claim of a former start of this server is known to have ended so: the keepers hear of it as of any end. */
+    public void formerEnded(String token, ClaimId id, Outcome outcome, String result, Duration windowEnds, Duration now) {
+        if (endings.containsKey(id)) return;
+        running.put(id, new Running(token, Map.of()));
+        ended(id, outcome, result, now, windowEnds, now, kept -> { });
+    }
+
     private void drop(ClaimId id) {
         Ending ending = endings.remove(id);
         if (ending != null && ending.result != null) results -= ending.result.length();
--- a/src/main/java/ochretiller/fleet/copies/Entry.java
+++ b/src/main/java/ochretiller/fleet/copies/Entry.java
@@ -51,7 +51,10 @@
 
     /** Two ends of one token: a second run, or a keeper that lies. */
     public boolean conflict() {
-        return outcomes.size() > 1;
+        if (outcomes.size() < 2) return false;
+        Outcome first = outcomes.values().iterator().next();
+        // An owner that has come back may tell one end under two of its claims: that is one run.
+        return outcomes.values().stream().anyMatch(each -> each.succeeded() != first.succeeded() || each.sum() != first.sum() || !each.body().equals(first.body()));
     }
 
     /** As another hears of it: long results have yet to come. */
@@ -61,6 +64,13 @@
         return new Entry(claims, released, told, window);
     }
 
+    /** How far it is, in a word. */
+    String how() {
+        if (conflict()) return "conflict";
+        if (!outcomes.isEmpty()) return outcome().orElseThrow().succeeded() ? "succeeded" : "failed";
+        return claims.keySet().stream().allMatch(released::contains) ? "free" : "claimed";
+    }
+
     /** Memory and way that it takes, in bytes, as reckoned. */
     int bytes() {
         int bytes = 96;
--- a/src/main/java/ochretiller/fleet/copies/Keeper.java
+++ b/src/main/java/ochretiller/fleet/copies/Keeper.java
@@ -270,6 +270,14 @@
         return pulls.behind(range);
     }
 
+    /** One token as it is listed: a mark of what is known of it, and a word on how far it is. */
+    public record Listed(String token, long mark, String how) {
+    }
+
+    public List<Listed> list(int range, int most) {
+        return stock.list(range, most);
+    }
+
     public Map<String, Entry> entries() {
         return stock.all();
     }
--- a/src/main/java/ochretiller/fleet/copies/Stock.java
+++ b/src/main/java/ochretiller/fleet/copies/Stock.java
@@ -164,6 +164,12 @@
         return found.stream().map(Map.Entry::getKey).toList();
     }
 
+    List<Keeper.Listed> list(int range, int most) {
+        Range known = ranges.get(range);
+        if (known == null) return List.of();
+        return known.entries.entrySet().stream().limit(most).map(each -> new Keeper.Listed(each.getKey(), each.getValue().mark, each.getValue().entry.how())).toList();
+    }
+
     /** Tokens of a range behind this one, by their names. */
     Iterable<String> after(int range, String token) {
         Range known = ranges.get(range);
--- a/src/main/java/ochretiller/fleet/epochs/EpochMessage.java
+++ b/src/main/java/ochretiller/fleet/epochs/EpochMessage.java
@@ -42,4 +42,8 @@
     /** The highest number that this voter knows of, agreed on or attempted, and the layout in force. */
     record Open(long nonce, long highest, Layout layout) implements EpochMessage {
     }
+
+    /** A keeper's word to the voters on how far it is: ranges of this epoch that it does not have whole. */
+    record Standing(long epoch, int behind) implements EpochMessage {
+    }
 }
--- a/src/main/java/ochretiller/fleet/epochs/Wish.java
+++ b/src/main/java/ochretiller/fleet/epochs/Wish.java
@@ -12,19 +12,26 @@
  * opinion; what follows from it is agreed on, and a keeper that comes back is taken in again.
  */
 public final class Wish {
+    /** A server that is gone is given so many times as long to come back as one that comes is watched: its disk comes back with it. */
+    private static final int PATIENCE = 4;
+
     private final Duration calm;
+    private final Duration longest;
     private final int fewest;
+    private final Map<String, EpochMessage.Standing> standing = new HashMap<>();
     private final Map<String, Duration> since = new HashMap<>();
     private final Map<String, Boolean> there = new HashMap<>();
     private long epoch = -1;
     private Duration epochSince = Duration.ZERO;
 
     /**
-     * @param calm   how long a server has to be there, or gone, before anything follows from it
-     * @param fewest keepers that are left in any case: whom nobody sees may still have the only copies
+     * @param calm    how long a server has to be there before anything follows from it; one that is gone, four times as long
+     * @param longest the longest window: behind it nothing that is not whole can matter
+     * @param fewest  keepers that are left in any case: whom nobody sees may still have the only copies
      */
-    public Wish(Duration calm, int fewest) {
+    public Wish(Duration calm, Duration longest, int fewest) {
         this.calm = calm;
+        this.longest = longest;
         this.fewest = fewest;
     }
 
@@ -35,10 +42,27 @@
         });
         there.keySet().retainAll(view.keySet());
         since.keySet().retainAll(view.keySet());
+        standing.keySet().retainAll(view.keySet());
+    }
+
+    /** How far a keeper says to be. */
+    public void told(String name, EpochMessage.Standing word) {
+        if (there.containsKey(name)) standing.put(name, word);
     }
 
     private boolean calmly(String name, boolean is, Duration now) {
-        return Boolean.valueOf(is).equals(there.get(name)) && now.minus(since.get(name)).compareTo(calm) >= 0;
+        Duration wait = is ? calm : calm.multipliedBy(PATIENCE);
+        return Boolean.valueOf(is).equals(there.get(name)) && now.minus(since.get(name)).compareTo(wait) >= 0;
+    }
+
+    /** Whether all that the last epoch has moved is where it belongs, at those who can say so. */
+    private boolean whole(Layout layout) {
+        for (Layout.Server each : layout.servers()) {
+            if (!Boolean.TRUE.equals(there.get(each.name()))) continue;
+            EpochMessage.Standing word = standing.get(each.name());
+            if (word == null || word.epoch() != layout.epoch() || word.behind() > 0) return false;
+        }
+        return true;
     }
 
     /** The next layout, or none where the one in force is good. Newcomers come first: who leaves takes copies along. */
@@ -47,8 +71,9 @@
             epoch = now.epoch();
             epochSince = time;
         }
-        // One change at a time: what the last one moved is to be whole before the next.
-        if (time.minus(epochSince).compareTo(calm) < 0 && !now.servers().isEmpty()) return Optional.empty();
+        // One change at a time: what the last one moved is to be whole before the next, or there would be nobody to fetch it from.
+        Duration stood = time.minus(epochSince);
+        if (!now.servers().isEmpty() && (stood.compareTo(calm) < 0 || !whole(now) && stood.compareTo(longest) < 0)) return Optional.empty();
         Optional<Layout.Server> newcomer = servers.stream().filter(each -> !now.has(each.name()) && calmly(each.name(), true, time))
             .min(Comparator.comparing(Layout.Server::name));
         if (newcomer.isPresent()) return Optional.of(now.with(newcomer.get()));
--- a/src/main/java/ochretiller/fleet/peers/Copies.java
+++ b/src/main/java/ochretiller/fleet/peers/Copies.java
@@ -63,8 +63,6 @@
     private static final Duration PLACES = Duration.ofSeconds(1);
     /** Conflicts that get a line each, with both sides. */
     private static final int CONFLICT_LINES = 20;
-    /** Pieces of long results that are answered at a time from one read of the disk. */
-    private static final int MOST_TOKENS_TOLD = 5_000;
 
     private final Schedule schedule;
     private final CopySettings settings;
@@ -99,6 +97,9 @@
     private final Metrics.Counter throttled;
     private final Metrics.Counter unknown;
     private final Metrics.Counter unkept;
+    private final Metrics.Counter settledNever;
+    private final Metrics.Counter settledEnds;
+    private final long start;
     /** Null for a server that is no voter. */
     private Voter voter;
     /** What is on its disk, and what was handed over to be written last. */
@@ -106,6 +107,8 @@
     private Voter.Promised handed;
     /** Null until an epoch is known. */
     private Keeper keeper;
+    /** Null where nothing outlives a restart. */
+    private Former former;
     private Duration attempted = Duration.ZERO.minusSeconds(60);
     private Duration spoken = Duration.ZERO;
     private Duration looked = Duration.ZERO;
@@ -139,10 +142,11 @@
         this.name = name;
         this.server = new Layout.Server(name, zone);
         this.longest = longest;
+        this.start = start;
         this.chance = chance;
         this.send = send;
         this.view = view;
-        this.wish = new Wish(settings.calm(), settings.factor());
+        this.wish = new Wish(settings.calm(), longest, settings.factor());
         boolean votes = settings.voters().contains(name);
         file = votes ? new VoterFile(settings.voterFile()) : null;
         durable = votes ? file.read() : null;
@@ -171,6 +175,8 @@
         throttled = metrics.counter("fleet_claims_throttled_total", "Claims without a majority, which were not run");
         unknown = metrics.counter("fleet_claims_unknown_total", "Repeats of what another has claimed and nobody knows the end of");
         unkept = metrics.counter("fleet_ends_unkept_total", "Ends that no majority had kept when their answer was due");
+        settledNever = metrics.counter("fleet_former_never_ran_total", "Claims of a former process of this server that it could prove never to have run");
+        settledEnds = metrics.counter("fleet_former_ends_total", "Claims of a former process of this server whose ends it could tell");
         figures(metrics);
     }
 
@@ -222,9 +228,13 @@
         Duration now = schedule.now();
         claims.tick(now);
         if (keeper != null) tick(now);
-        if (voter != null && now.minus(spoken).compareTo(SPEAK) >= 0) {
+        if (now.minus(spoken).compareTo(SPEAK) >= 0) {
             spoken = now.minus(Duration.ofNanos((long) (SPEAK.toNanos() / 2 * chance.nextDouble())));
-            vote(now);
+            if (keeper != null) {
+                EpochMessage.Standing standing = new EpochMessage.Standing(epochNow, keeper.returning() ? Layout.RANGES : keeper.behind());
+                settings.voters().forEach(to -> out(to, standing));
+            }
+            if (voter != null) vote(now);
         }
         carryOut();
         schedule.after(TICK, this::tick);
@@ -313,6 +323,7 @@
         Duration now = schedule.now();
         if (message instanceof EpochMessage word) {
             if (voter != null) voter.received(from, word);
+            if (word instanceof EpochMessage.Standing standing) wish.told(from, standing);
             if (word instanceof EpochMessage.Agreed agreed && settings.voters().contains(from)) learn(agreed.layout());
             // Guards against voters that have all lost what they promised: what is in force is known to others, too.
             boolean asks = word instanceof EpochMessage.WhatIsOpen || word instanceof EpochMessage.Agreed agreed && agreed.layout().epoch() < epochNow;
@@ -320,6 +331,7 @@
         } else if (message instanceof CopyMessage word) {
             if (word instanceof CopyMessage.Fetch fetch && fetch.layout() != null) learn(fetch.layout());
             if (word instanceof CopyMessage.Want want) wanted(from, want);
+            if (word instanceof CopyMessage.Whether whether) formerly(whether);
             if (keeper != null) keeper.received(from, word, now);
             claims.received(from, word, now);
         }
@@ -384,6 +396,45 @@
         });
     }
 
+    /** What former processes have left is told by this. */
+    public void remembers(Former told) {
+        former = told;
+    }
+
+    /**
+     * Does a claim of a former process run? Its mark was on this disk before it was begun, so a disk that is whole and as new as this
+     * server's last word tells. One that lacks anything proves nothing.
+     */
+    private void formerly(CopyMessage.Whether whether) {
+        ClaimId id = whether.id();
+        boolean mine = id.server().equals(name) && id.start() != start && found.place().starts().contains(id.start());
+        boolean proves = former != null && found.disk() != null && keeper != null && !keeper.returning() && keeper.oldDisks() == 0;
+        if (!mine || !proves || !KeeperDisk.fits(whether.token())) return;
+        former.ask(whether.token(), known -> {
+            if (closed) return;
+            Duration now = schedule.now();
+            if (known.kind() == Former.Kind.NEVER) {
+                settledNever.add();
+                claims.formerNeverRan(whether.token(), id, now.plus(longest), now);
+            } else if (known.kind() == Former.Kind.ENDED) {
+                settledEnds.add();
+                Outcome outcome = outcome(known.body(), known.result());
+                claims.formerEnded(whether.token(), id, outcome, outcome.big() ? text(known.result()) : null, known.windowEnds(), now);
+            }
+            carryOut();
+        });
+    }
+
+    private static String text(byte[] result) {
+        return new String(result, StandardCharsets.ISO_8859_1);
+    }
+
+    /** Of a result that is longer than is kept only its end is told: its repeats elsewhere are errored, and never run. */
+    private static Outcome outcome(String body, byte[] result) {
+        if (result == null || result.length > Outcome.LONGEST) return new Outcome(false, body, "");
+        return result.length > Outcome.INLINE ? Outcome.apart(body, text(result)) : new Outcome(true, body, text(result));
+    }
+
     /** A piece of a long result is asked for: of a run of this server's, or of what it keeps. */
     private void wanted(String from, CopyMessage.Want want) {
         String own = claims.result(want.id());
@@ -441,6 +492,53 @@
         told.forEach(to -> out(to, each.message()));
     }
 
+    /** What the operators' commands are told. */
+    CopiesTold told() {
+        return new CopiesTold(new Inside());
+    }
+
+    /** All ranges that this server keeps are compared with all others that keep them, in their turn. */
+    String repair() {
+        int compares = keeper == null ? 0 : keeper.compareAll();
+        LOG.info("fleet: told by the operators' command to compare all ranges, " + compares + " comparisons");
+        return "{\"compares\":" + compares + "}";
+    }
+
+    /** What there is to tell of. */
+    final class Inside {
+        String name() {
+            return name;
+        }
+
+        Duration now() {
+            return schedule.now();
+        }
+
+        Layout layout() {
+            return claims.layout();
+        }
+
+        Keeper keeper() {
+            return keeper;
+        }
+
+        int underWay() {
+            return claims.underWay();
+        }
+
+        double limit() {
+            return claims.limit();
+        }
+
+        int wordsWaiting() {
+            return commit.waiting();
+        }
+
+        String disk() {
+            return disk == null ? "none" : commit.sick() ? "sick" : "well";
+        }
+    }
+
     /**
      * Asks the fleet whether a tokened invocation may run here; {@code then} is handed the one verdict.
      *
@@ -491,11 +589,8 @@
      * @param result null where it did not succeed
      */
     public void ended(ClaimId claim, String body, byte[] result, Duration due, Duration windowEnds, Consumer<Boolean> then) {
-        String kept = result == null ? "" : new String(result, StandardCharsets.ISO_8859_1);
-        // Of one that is longer still only its end is kept: its repeats elsewhere are errored, and never run.
-        boolean succeeded = result != null && kept.length() <= Outcome.LONGEST;
-        Outcome outcome = !succeeded ? new Outcome(false, body, "") : kept.length() > Outcome.INLINE ? Outcome.apart(body, kept) : new Outcome(true, body, kept);
-        claims.ended(claim, outcome, outcome.big() ? kept : null, due, windowEnds, schedule.now(), good -> {
+        Outcome outcome = outcome(body, result);
+        claims.ended(claim, outcome, outcome.big() ? text(result) : null, due, windowEnds, schedule.now(), good -> {
             if (!good) unkept.add();
             then.accept(good);
         });
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -29,7 +29,7 @@
     private static final byte[] NONE = {};
     private static final List<Class<?>> EPOCH_KINDS = List.of(EpochMessage.Prepare.class, EpochMessage.Promise.class, EpochMessage.Accept.class,
         EpochMessage.Accepted.class, EpochMessage.Refused.class, EpochMessage.Agreed.class, EpochMessage.WhatIsOpen.class, EpochMessage.Open.class,
-        EpochMessage.Blank.class, EpochMessage.Fresh.class);
+        EpochMessage.Blank.class, EpochMessage.Fresh.class, EpochMessage.Standing.class);
     private static final List<Class<?>> COPY_KINDS = List.of(CopyMessage.Claim.class, CopyMessage.Look.class, CopyMessage.Answer.class,
         CopyMessage.Ended.class, CopyMessage.Kept.class, CopyMessage.Release.class, CopyMessage.Whether.class, CopyMessage.Fetch.class,
         CopyMessage.Page.class, CopyMessage.Compare.class, CopyMessage.Recollect.class, CopyMessage.Recollected.class, CopyMessage.Want.class,
@@ -79,6 +79,9 @@
         } else if (message instanceof EpochMessage.Blank m) {
             to.writeNumber(m.nonce());
             to.writeNumber(m.instance());
+        } else if (message instanceof EpochMessage.Standing m) {
+            to.writeNumber(m.epoch());
+            to.writeNumber(m.behind());
         } else if (message instanceof EpochMessage.Fresh m) {
             to.writeStartArray();
             for (Map.Entry<String, Long> each : m.instances().entrySet()) {
@@ -185,6 +188,7 @@
             case 6 -> new EpochMessage.WhatIsOpen(Codec.number(in));
             case 7 -> new EpochMessage.Open(Codec.number(in), Codec.number(in), layout(in));
             case 8 -> new EpochMessage.Blank(Codec.number(in), Codec.number(in));
+            case 10 -> new EpochMessage.Standing(Codec.number(in), (int) Codec.number(in));
             default -> {
                 Map<String, Long> instances = new HashMap<>();
                 Codec.list(in, () -> {
--- a/src/main/java/ochretiller/fleet/peers/Door.java
+++ b/src/main/java/ochretiller/fleet/peers/Door.java
@@ -22,10 +22,10 @@
     private final SecureRandom chance = new SecureRandom();
     private final AtomicInteger open = new AtomicInteger();
 
-    /** What is answered to a word, made on the one thread. */
+    /** What is answered to a word and what came with it, made on the one thread. */
     @FunctionalInterface
     interface Answer {
-        String text();
+        String text(String with);
     }
 
     Door(Codec codec, String name, Map<String, Answer> words) {
@@ -82,7 +82,7 @@
             if (!word.fleet().equals(codec.fleet()) || !word.challenge().equals(challenge) || answer == null) {
                 throw new BadInputException("a word at the fleet's door is for another fleet or connection, or unknown");
             }
-            return () -> connection.write(Sealed.frame(codec.keys(), new Sealed.Said(codec.fleet(), challenge, word.word(), answer.text())));
+            return () -> connection.write(Sealed.frame(codec.keys(), new Sealed.Said(codec.fleet(), challenge, word.word(), answer.text(word.text()))));
         }
 
         @Override
--- a/src/main/java/ochretiller/fleet/peers/Fleet.java
+++ b/src/main/java/ochretiller/fleet/peers/Fleet.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -33,6 +34,7 @@
     /** Lines on changes in such a span; a fleet that flaps gets one line with the number of the rest. */
     private static final int LINES = 20;
     private static final Duration LINES_IN = Duration.ofSeconds(10);
+    private static final String NO_COPIES = "{\"copies\":false}";
     private static final Duration FIGURES_EVERY = Duration.ofSeconds(1);
 
     private final Schedule schedule;
@@ -83,21 +85,30 @@
         Member self = new Member(new MemberId(name, start), at, settings.zone(), build, settings.serves() == null ? serves : settings.serves(), 1,
             State.JOINING);
         members = new Members(self, settings.seeds(), settings.pace(), chance, schedule.now());
-        door = new Door(codec, name, words(leave));
-        network.listen("fleet", settings.listen(), door::accepted);
         copies = settings.copies() == null ? null : new Copies(schedule, settings.copies(), name, settings.zone(), start, longest, chance, metrics,
             this::send, () -> members.view(), store);
+        door = new Door(codec, name, words(leave));
+        network.listen("fleet", settings.listen(), door::accepted);
         changed = metrics.counter("fleet_changes_total", "Changes of state that this server has seen");
         figures(metrics);
     }
 
     /** What the operators' commands may ask. */
     private Map<String, Door.Answer> words(Runnable leave) {
-        return Map.of("view", () -> Views.json(settings.fleet(), members, socket), "ping", () -> "{}", "leave", () -> {
+        Map<String, Door.Answer> words = new HashMap<>();
+        words.put("view", with -> Views.json(settings.fleet(), members, socket));
+        words.put("ping", with -> "{}");
+        words.put("leave", with -> {
             LOG.info("told to leave by the operators' command");
             leave.run();
             return "{\"leaves\":true}";
         });
+        words.put("copies-status", with -> copies == null ? NO_COPIES : copies.told().status());
+        words.put("copies-show", with -> copies == null ? NO_COPIES : copies.told().show(with));
+        words.put("copies-digests", with -> copies == null ? NO_COPIES : copies.told().digests());
+        words.put("copies-range", with -> copies == null ? NO_COPIES : copies.told().range(with));
+        words.put("copies-repair", with -> copies == null ? NO_COPIES : copies.repair());
+        return words;
     }
 
     private void figures(Metrics metrics) {
--- a/src/main/java/ochretiller/fleet/peers/FleetClient.java
+++ b/src/main/java/ochretiller/fleet/peers/FleetClient.java
@@ -40,7 +40,12 @@
 
     /** What the server answers to a word. */
     public String ask(String word) throws IOException {
-        socket.getOutputStream().write(Sealed.frame(keys, new Sealed.Said(fleet, challenge, word, "")));
+        return ask(word, "");
+    }
+
+    /** What the server answers to a word and what goes with it. */
+    public String ask(String word, String with) throws IOException {
+        socket.getOutputStream().write(Sealed.frame(keys, new Sealed.Said(fleet, challenge, word, with)));
         Sealed.Said said = read();
         if (!said.challenge().equals(challenge) || !said.word().equals(word)) throw new IOException("the server answered something else");
         return said.text();
--- a/src/main/java/ochretiller/fleet/peers/KeeperDisk.java
+++ b/src/main/java/ochretiller/fleet/peers/KeeperDisk.java
@@ -28,7 +28,7 @@
  * A keeper's entries in the store of remembered results, in a space of their own: keys that no token can have begin with these
  * bytes. {@code docs/store-format.md} has the values.
  */
-final class KeeperDisk {
+public final class KeeperDisk {
     /** No UTF-8 text begins with either. */
     static final byte ENTRIES = (byte) 0xFF;
     static final byte RESULTS = (byte) 0xFE;
@@ -183,8 +183,11 @@
         return out.toByteArray();
     }
 
-    /** Tokens of keys, for those who look at a store from outside; null for a key of another space. */
-    static String token(byte[] key) {
-        return key.length < 2 || key[0] != ENTRIES || List.of(PLACE[1]).contains(key[1]) ? null : new String(key, 1, key.length - 1, StandardCharsets.UTF_8);
+    /** What a key of these spaces is about, for those who look at a store from outside; null for a key of another space. */
+    public static String about(byte[] key) {
+        if (key.length < 2 || key[0] != ENTRIES && key[0] != RESULTS) return null;
+        String text = new String(key, 1, key.length - 1, StandardCharsets.UTF_8);
+        if (key[0] == RESULTS) return "a long result kept for the fleet: " + text;
+        return key.length == PLACE.length && key[1] == PLACE[1] ? "this server's place in its fleet" : "kept for the fleet: " + text;
     }
 }
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -129,6 +129,7 @@
             recall = null;
         }
         fleet = operator.fleet().isEmpty() ? null : fleet(operator.fleet().get());
+        if (fleet != null && fleet.copies() != null && recall != null) fleet.copies().remembers(recall);
     }
 
     /** No mark lives longer: the longest window of an operation and its client timeout, once for each end. */
--- a/src/main/java/ochretiller/node/Recall.java
+++ b/src/main/java/ochretiller/node/Recall.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 import ochretiller.fleet.peers.CopySettings;
+import ochretiller.fleet.peers.Former;
 import ochretiller.front.Try;
 import ochretiller.keys.Keys;
 import ochretiller.metrics.Metrics;
@@ -33,7 +35,7 @@
  * Carries out what is decided about the memory of keyed invocations: marks and results go to the store, answers wait for
  * them, and what a former process has left is found again. All of it on the one thread.
  */
-final class Recall {
+final class Recall implements Former {
     private static final Logger LOG = Logger.getLogger(Recall.class.getName());
     /** How often the store is asked how it does: a fifth of the shortest stall that is worth a word. */
     private static final Duration BEAT = Duration.ofMillis(50);
@@ -47,6 +49,9 @@
     private final Map<InvId, Mark> marks = new HashMap<>();
     private final Map<String, Mark> restored = new LinkedHashMap<>();
     private final Map<String, Runnable> later = new LinkedHashMap<>();
+    /** What former processes have left, for the fleet to ask about; no longer than any of it matters. */
+    private final Map<String, Mark> left = new HashMap<>();
+    private final boolean whole;
     private final Metrics.Counter throttled;
     private final Metrics.Counter early;
     private final Metrics.Counter stalls;
@@ -82,6 +87,9 @@
         });
         long marked = restored.values().stream().filter(mark -> mark.state() == Mark.State.MARKED).count();
         inDoubt = marked;
+        whole = store.damagedUntil() <= store.now();
+        if (copies != null) left.putAll(restored);
+        schedule.after(longest, left::clear);
         LOG.info(() -> "remembers " + restored.size() + " keyed invocations, the ends of " + marked + " unknown, read in "
             + Math.round(took * 1000) + " ms");
         store.damage().forEach(line -> LOG.severe("damage in the store: " + line));
@@ -294,9 +302,27 @@
         return all;
     }
 
+    @Override
+    public void ask(String token, Consumer<Known> then) {
+        Mark mark = left.get(token);
+        if (mark == null) {
+            then.accept(whole ? Known.NEVER : Known.UNKNOWN);
+        } else if (mark.state() == Mark.State.MARKED) {
+            then.accept(Known.UNKNOWN);
+        } else {
+            String body = mark.operation() + ' ' + HexFormat.of().formatHex(mark.body());
+            Duration ends = schedule.now().plus(left(mark));
+            if (mark.state() == Mark.State.LOST) then.accept(new Known(Kind.ENDED, body, null, ends));
+            else result(token, read -> then.accept(read == null ? Known.UNKNOWN : new Known(Kind.ENDED, body, read, ends)));
+        }
+    }
+
     /** What becomes of it, where the processor was started so long ago. */
     Memory.Found found(Mark mark, Duration processorAge) {
-        return Memory.found(mark, store.now() - processorAge.toMillis());
+        Memory.Found found = Memory.found(mark, store.now() - processorAge.toMillis());
+        // Nobody will ever tell its end: the fleet need not wait for that either.
+        if (found == Memory.Found.ERROR) left.replace(mark.token(), mark.as(Mark.State.LOST));
+        return found;
     }
 
     /** From now until the end of its window. */
@@ -307,6 +333,8 @@
     /** The end of a run that a former process has begun, heard of here. */
     void settled(Mark mark, Operation operation, RunEnd.Result end, byte[] result, Runnable then) {
         inDoubt--;
+        if (end == RunEnd.Result.SUCCEEDED) left.replace(mark.token(), mark.as(Mark.State.SUCCEEDED));
+        else left.replace(mark.token(), mark.as(Mark.State.LOST));
         ended(mark, operation, end, result, schedule.now().plus(operation.clientTimeout()), then);
     }
 
--- a/src/test/java/ochretiller/fleet/epochs/VoterTest.java
+++ b/src/test/java/ochretiller/fleet/epochs/VoterTest.java
@@ -188,19 +188,28 @@
 
     @Test
     void onlyWhatHasStoodForAWhileIsWishedFor() {
-        Wish wish = new Wish(Duration.ofSeconds(2), 3);
+        Wish wish = new Wish(Duration.ofSeconds(2), Duration.ofSeconds(60), 3);
         Layout now = new Layout(4, List.of(server("a"), server("b"), server("c"), server("d")), List.of(), 3);
         List<Layout.Server> known = List.of(server("a"), server("b"), server("c"), server("d"), server("e"));
         wish.seen(Map.of("a", true, "b", true, "c", true, "d", false, "e", true), Duration.ZERO);
         assertThat(wish.next(now, known, Duration.ofSeconds(1))).isEmpty();
-        Layout more = wish.next(now, known, Duration.ofSeconds(3)).orElseThrow();
+        assertThat(wish.next(now, known, Duration.ofSeconds(3))).as("nobody has said how far it is").isEmpty();
+        for (String each : List.of("a", "b", "c")) wish.told(each, new EpochMessage.Standing(4, 0));
+        Layout more = wish.next(now, known, Duration.ofSeconds(4)).orElseThrow();
         assertThat(more.has("e")).as("who comes, before who leaves").isTrue();
-        assertThat(wish.next(more, known, Duration.ofSeconds(4))).as("one at a time").isEmpty();
-        assertThat(wish.next(more, known, Duration.ofSeconds(6)).orElseThrow().has("d")).isFalse();
-        Wish alone = new Wish(Duration.ofSeconds(2), 3);
+        assertThat(wish.next(more, known, Duration.ofSeconds(5))).as("one at a time").isEmpty();
+        for (String each : List.of("a", "b", "c")) wish.told(each, new EpochMessage.Standing(5, 0));
+        wish.told("e", new EpochMessage.Standing(5, 17));
+        assertThat(wish.next(more, known, Duration.ofSeconds(10))).as("what moved is not whole").isEmpty();
+        wish.told("e", new EpochMessage.Standing(5, 0));
+        assertThat(wish.next(more, known, Duration.ofSeconds(10)).orElseThrow().has("d")).isFalse();
+        wish.told("e", new EpochMessage.Standing(5, 3));
+        assertThat(wish.next(more, known, Duration.ofSeconds(70))).as("behind the longest window nothing missing matters").isPresent();
+        Wish alone = new Wish(Duration.ofSeconds(2), Duration.ofSeconds(60), 3);
         Layout three = new Layout(4, List.of(server("a"), server("b"), server("c")), List.of(), 3);
         alone.seen(Map.of("a", true, "b", false, "c", false), Duration.ZERO);
         alone.next(three, known, Duration.ZERO);
+        alone.told("a", new EpochMessage.Standing(4, 0));
         assertThat(alone.next(three, List.of(), Duration.ofSeconds(60))).as("they may have the only copies").isEmpty();
     }
 }
--- a/src/test/java/ochretiller/fleet/peers/CodecTest.java
+++ b/src/test/java/ochretiller/fleet/peers/CodecTest.java
@@ -69,7 +69,7 @@
         return List.of(new EpochMessage.Prepare(1, ballot), new EpochMessage.Promise(1, ballot, Ballot.NONE, null), new EpochMessage.Promise(1, ballot, ballot, layout),
             new EpochMessage.Accept(1, ballot, layout), new EpochMessage.Accepted(1, ballot), new EpochMessage.Refused(1, ballot, ballot),
             new EpochMessage.Agreed(layout), new EpochMessage.WhatIsOpen(9), new EpochMessage.Open(9, 8, layout), new EpochMessage.Blank(1, -2),
-            new EpochMessage.Fresh(Map.of("a", 1L, "b", -2L)), new CopyMessage.Claim(4, "x", id, "body", Duration.ofMillis(7)), new CopyMessage.Look(4, "x", id),
+            new EpochMessage.Fresh(Map.of("a", 1L, "b", -2L)), new EpochMessage.Standing(4, 17), new CopyMessage.Claim(4, "x", id, "body", Duration.ofMillis(7)), new CopyMessage.Look(4, "x", id),
             new CopyMessage.Answer(4, "x", id, CopyMessage.Word.HELD, Optional.of(id), Optional.empty(), 17),
             new CopyMessage.Answer(4, "x", id, CopyMessage.Word.DONE, Optional.empty(), Optional.of(outcome), -1),
             new CopyMessage.Ended(4, "x", id, Outcome.apart("body", "r".repeat(9_000)), Duration.ofMillis(7), Map.of("a", 5L)), new CopyMessage.Kept(4, "x", id, 8), new CopyMessage.Release("x", id, Duration.ofMillis(7)),
