Drill each step of a keyed invocation: its server killed or paused, repeats anywhere

Need: the owner's end at each step, by what is seen of that step, was not drilled. Change: drill steps and its test; fetches of the next range start with the last one's end and not with the host's beat; a keeper that comes back waits only for those that it sees.

--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -4,6 +4,7 @@
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -17,6 +18,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import ochretiller.emulator.fleet.FleetScript;
@@ -50,6 +52,10 @@
     volatile boolean up;
     volatile boolean paused;
     volatile boolean leaves;
+    /** What becomes of the end of a run that was begun: by default it comes at once. */
+    volatile Consumer<Runnable> ends = Runnable::run;
+    /** Characters on top of each result. */
+    volatile int more;
 
     Box(Plan.Slot slot, Path folder, History history, StandIns.Runs runs) throws IOException {
         this.slot = slot;
@@ -62,7 +68,13 @@
         outside = new StandIns("127.0.0.1", new int[3], line -> { }, report -> { });
         outside.runs = (rid, operation, body) -> {
             runs.begun(rid, operation, body);
-            outside.complete(rid, "done " + body + " by " + slot.number() + " as " + rid);
+            ends.accept(() -> {
+                try {
+                    outside.complete(rid, "done " + body + " by " + slot.number() + " as " + rid + ".".repeat(more));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
         };
     }
 
--- a/drill/src/main/java/ochretiller/drill/Drill.java
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -72,6 +72,19 @@
         return broken.isEmpty() ? 0 : BROKEN;
     }
 
+    @Command(name = "steps", mixinStandardHelpOptions = true,
+        description = "One keyed invocation after the other whose server is killed or paused at each step of it; its repeats go to each server.")
+    int steps(@Option(names = "--out", description = "A folder for stores and logs.") Path out,
+              @Option(names = "--no-copies", description = "Each server for itself: the steps have to be seen to break.") boolean alone) throws Exception {
+        Path folder = out != null ? out : Files.createTempDirectory("steps");
+        try (Steps steps = new Steps(folder, !alone, System.err::println)) {
+            List<String> broken = steps.play();
+            broken.forEach(line -> System.out.println("broken: " + line));
+            if (broken.isEmpty()) System.out.println("each step came out as it has to");
+            return broken.isEmpty() ? 0 : BROKEN;
+        }
+    }
+
     @Command(name = "example", mixinStandardHelpOptions = true,
         description = "Three servers that find one another; one is killed with SIGKILL, and what the others see is shown.")
     int example() throws Exception {
--- a/drill/src/main/java/ochretiller/drill/Stage.java
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -18,6 +18,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import ochretiller.emulator.core.Seeds;
 import ochretiller.emulator.fleet.Faults;
@@ -122,6 +123,26 @@
         return history;
     }
 
+    /** Starts all servers of the script, and tells of each run that is begun; nothing else is played. */
+    void raise(BiConsumer<Integer, String> ran) throws IOException, InterruptedException {
+        for (Plan.Slot slot : plan.slots()) {
+            boxes.put(slot.number(), new Box(slot, folder, history, (rid, operation, body) -> ran.accept(slot.number(), body)));
+        }
+        links.start();
+        for (Plan.Action action : plan.actions()) start(action);
+        for (Box box : boxes.values()) if (!box.awaitPart()) throw new IOException("server " + box.slot.number() + " did not start");
+        if (copiesOn) awaitKeepers();
+    }
+
+    Box box(int number) {
+        return boxes.get(number);
+    }
+
+    /** Starts a server again, with the disk that it has. */
+    void again(int number) throws IOException, InterruptedException {
+        for (Plan.Action action : plan.actions()) if (action.slot() == number && action.act() == Plan.Act.START) start(action);
+    }
+
     /** From here on all that is noted has its time from the script's beginning. */
     private void become(History begun) {
         history = begun;
--- a/drill/src/test/java/ochretiller/drill/DrillTest.java
+++ b/drill/src/test/java/ochretiller/drill/DrillTest.java
@@ -20,7 +20,7 @@
     private Path folder;
 
     @ParameterizedTest
-    @ValueSource(strings = {"cut-heals", "returns", "while-healing", "copies/owner-killed"})
+    @ValueSource(strings = {"cut-heals", "returns", "while-healing", "copies/owner-killed", "copies/disks"})
     void comesOutAsTheScriptExpects(String name) throws Exception {
         FleetScript script = FleetScriptFile.read(SCRIPTS.resolve(name + ".json5"));
         Checker checker = null;
--- a/src/main/java/ochretiller/fleet/copies/Keeper.java
+++ b/src/main/java/ochretiller/fleet/copies/Keeper.java
@@ -407,7 +407,11 @@
             return;
         }
         Duration waited = now.minus(returning.began);
-        boolean enough = returning.told.keySet().containsAll(others) || !returning.told.isEmpty() && waited.compareTo(WAITS_FOR_ALL) >= 0;
+        Set<String> untold = new HashSet<>(others);
+        untold.removeAll(returning.told.keySet());
+        // Whom this server does not see need not be waited for, once most others have spoken.
+        boolean rest = returning.told.size() >= Layout.majority(others.size()) && away.keySet().containsAll(untold);
+        boolean enough = untold.isEmpty() || rest || !returning.told.isEmpty() && waited.compareTo(WAITS_FOR_ALL) >= 0;
         if (enough || waited.compareTo(WAITS_FOR_ANY) >= 0) {
             returning = null;
             changed = true;
@@ -559,6 +563,8 @@
         for (CopyMessage.Item item : page.items()) take(from, item, now);
         int before = pulls.behind();
         pulls.page(from, page, layout, now).ifPresent(outs::add);
+        // The next range at once: each that waits for the host's beat is one that nobody can claim in meanwhile.
+        if (pulls.behind() > 0) outs.addAll(pulls.tick(layout, now));
         if (pulls.behind() != before) changed = true;
     }
 
