Fetch each range from one source at a time; measure catch-up by entries and bytes

Need: a keeper that lacked all fetched it twice, from two sources at once, and one that is away kept the others waiting.

--- a/drill/src/main/java/ochretiller/drill/Steps.java
+++ b/drill/src/main/java/ochretiller/drill/Steps.java
@@ -200,7 +200,8 @@
         held.clear();
         stage.box(slot).ends = held::add;
         BlockingQueue<String> answer = ask(slot, token, token);
-        end = held.poll(WITHIN_S, TimeUnit.SECONDS);
+        // A server that has just come back may throttle the first: nothing was begun then, and it is asked again.
+        for (int i = 0; i < WITHIN_S && (end = held.poll(1, TimeUnit.SECONDS)) == null; i++) if (!answer.isEmpty()) answer = ask(slot, token, token);
         stage.box(slot).ends = Runnable::run;
         if (end == null) throw new IOException("nothing was begun");
         return answer;
--- a/src/main/java/ochretiller/fleet/copies/CopyMessage.java
+++ b/src/main/java/ochretiller/fleet/copies/CopyMessage.java
@@ -101,8 +101,8 @@
         implements CopyMessage {
     }
 
-    /** This is how I have that range; whoever has it otherwise fetches what it lacks, and says how it has it itself. */
-    record Compare(long epoch, int range, long digest, boolean back) implements CopyMessage {
+    /** This is how I have that range, with so many entries; whoever has it otherwise fetches what it lacks, and says how it has it itself. */
+    record Compare(long epoch, int range, long digest, int count, boolean back) implements CopyMessage {
     }
 
     /** I have come back: the change of which number did you hear of last from me? */
--- a/src/main/java/ochretiller/fleet/copies/Keeper.java
+++ b/src/main/java/ochretiller/fleet/copies/Keeper.java
@@ -385,7 +385,7 @@
             for (int range = missed.nextSetBit(0); range >= 0 && left > 0; range = missed.nextSetBit(range + 1)) {
                 missed.clear(range);
                 if (!layout.keepers(range).contains(each.getKey())) continue;
-                outs.add(new Out(each.getKey(), new CopyMessage.Compare(layout.epoch(), range, stock.digest(range), false)));
+                outs.add(new Out(each.getKey(), new CopyMessage.Compare(layout.epoch(), range, stock.digest(range), stock.count(range), false)));
                 left--;
             }
         }
@@ -445,6 +445,11 @@
         cameBack(now);
     }
 
+    /** The end of a window, of which a peer says that so much is left: no more than the longest that there is. */
+    private Duration until(Duration left, Duration now) {
+        return now.plus(left.compareTo(bounds.longest) < 0 ? left : bounds.longest);
+    }
+
     private boolean keeps(String token) {
         return layout.keepers(Layout.range(token)).contains(name);
     }
@@ -461,7 +466,7 @@
             boolean room = known || !entry.full() && room(entry);
             word = room ? CopyMessage.Word.GRANTED : CopyMessage.Word.FULL;
             // One that is said again came later than the first, whose window was long enough.
-            if (room && !known) put(claim.token(), entry.claimed(claim.id(), claim.body(), now.plus(claim.left())));
+            if (room && !known) put(claim.token(), entry.claimed(claim.id(), claim.body(), until(claim.left(), now)));
         }
         answer(from, entry, claim.token(), claim.id(), word);
     }
@@ -486,7 +491,7 @@
 
     private void ended(String from, CopyMessage.Ended ended, Duration now) {
         Entry entry = entry(ended.token());
-        if (!entry.outcomes().containsKey(ended.id())) put(ended.token(), entry.ended(ended.id(), ended.outcome().told(), now.plus(ended.left())));
+        if (!entry.outcomes().containsKey(ended.id())) put(ended.token(), entry.ended(ended.id(), ended.outcome().told(), until(ended.left(), now)));
         Outcome kept = entry(ended.token()).outcomes().get(ended.id());
         if (!kept.here()) {
             // It counts once the result is here, too.
@@ -515,7 +520,7 @@
         Entry entry = entry(release.token());
         if (entry.released().contains(release.id()) || entry.released().size() >= Entry.MOST || entry == Entry.NOTHING && !room(entry)) return;
         // Where nothing is known of it the claim may still come, late: then it finds itself released.
-        put(release.token(), entry.release(release.id(), now.plus(release.left())));
+        put(release.token(), entry.release(release.id(), until(release.left(), now)));
     }
 
     // ---- copies
@@ -573,7 +578,7 @@
         if (item.left().isNegative() || item.left().isZero()) return;
         Entry mine = entry(item.token());
         if (mine == Entry.NOTHING && stock.size() >= bounds.most) return;
-        Duration until = now.plus(item.left());
+        Duration until = until(item.left(), now);
         Entry told = new Entry(item.entry().claims(), item.entry().released(), item.entry().outcomes(), until);
         Entry joined = mine.join(told);
         boolean more = !joined.claims().equals(mine.claims()) || !joined.released().equals(mine.released()) || !joined.outcomes().equals(mine.outcomes());
@@ -589,7 +594,7 @@
         List<String> others = new ArrayList<>(layout.keepers(range));
         if (!others.remove(name) || others.isEmpty()) return;
         compares++;
-        outs.add(new Out(others.get(chance.nextInt(others.size())), new CopyMessage.Compare(layout.epoch(), range, stock.digest(range), false)));
+        outs.add(new Out(others.get(chance.nextInt(others.size())), new CopyMessage.Compare(layout.epoch(), range, stock.digest(range), stock.count(range), false)));
     }
 
     private void compared(String from, CopyMessage.Compare compare) {
@@ -597,8 +602,8 @@
         List<String> keepers = layout.keepers(compare.range());
         if (!keepers.contains(name) || !keepers.contains(from)) return;
         differed++;
-        pulls.repair(compare.range(), from);
-        if (!compare.back()) outs.add(new Out(from, new CopyMessage.Compare(layout.epoch(), compare.range(), stock.digest(compare.range()), true)));
+        pulls.repair(compare.range(), from, compare.count());
+        if (!compare.back()) outs.add(new Out(from, new CopyMessage.Compare(layout.epoch(), compare.range(), stock.digest(compare.range()), stock.count(compare.range()), true)));
     }
 
     /** Compares all of its ranges with all other keepers of them, as an operator asks for; tells how many. */
--- a/src/main/java/ochretiller/fleet/copies/Pulls.java
+++ b/src/main/java/ochretiller/fleet/copies/Pulls.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +28,8 @@
     private static final Duration AGAIN = Duration.ofMillis(300);
     /** A repair whose source says nothing so often is given up: a comparison will find it again. */
     private static final int TRIES = 5;
+    /** Questions without an answer by which a source counts as away. */
+    private static final int SILENT = 3;
     /** Cells of a first sketch, and how much larger the next is where it told nothing. */
     private static final int FIRST_CELLS = 24;
     private static final int LARGER = 4;
@@ -40,6 +43,8 @@
     private final Map<Place, Pull> pulls = new LinkedHashMap<>();
     /** Who has said something in this epoch, and needs to be told of it no more. */
     private final Set<String> know = new HashSet<>();
+    private final Map<String, Integer> silent = new HashMap<>();
+    private final Map<String, Duration> probed = new HashMap<>();
     private long nonce;
     private long bytes;
     private long fetched;
@@ -136,6 +141,8 @@
     /** Whoever is asked in a later epoch has to be told of it, and what was under way in the last one is void. */
     void epoch() {
         know.clear();
+        silent.clear();
+        probed.clear();
         pulls.clear();
     }
 
@@ -158,10 +165,17 @@
     }
 
     /** What differs from another's copy is fetched when there is time. */
-    void repair(int range, String source) {
+    void repair(int range, String source, int count) {
         Place place = new Place(range, source);
         if (catching.containsKey(range) || pulls.containsKey(place) || pulls.size() >= MOST_REPAIRS) return;
-        pulls.put(place, new Pull(true, way(range)));
+        Pull pull = new Pull(true, way(range));
+        pull.cells = cells(range, count);
+        pulls.put(place, pull);
+    }
+
+    /** Cells for a sketch beside one who has so many entries: at least as many differ as one has more than the other. */
+    private int cells(int range, int count) {
+        return Math.max(FIRST_CELLS, Math.min(Sketch.MOST, FIRST_CELLS / 2 + 2 * Math.abs(count - stock.count(range))));
     }
 
     private Way way(int range) {
@@ -175,8 +189,11 @@
         pulls.values().removeIf(pull -> pull.repair && pull.silent >= TRIES);
         int waiting = 0;
         int repairs = 0;
-        for (Pull pull : pulls.values()) {
-            if (pull.asked == null || now.minus(pull.asked).compareTo(AGAIN) >= 0) continue;
+        Set<Integer> busy = new HashSet<>();
+        for (Map.Entry<Place, Pull> each : pulls.entrySet()) {
+            Pull pull = each.getValue();
+            if (pull.asked == null || now.minus(pull.asked).compareTo(AGAIN) >= 0 || silent.getOrDefault(each.getKey().source, 0) >= SILENT) continue;
+            busy.add(each.getKey().range);
             if (pull.repair) repairs++;
             else waiting++;
         }
@@ -193,13 +210,30 @@
             for (Map.Entry<Place, Pull> each : pulls.entrySet()) {
                 Pull pull = each.getValue();
                 if (pull.repair != repair || pull.asked != null && now.minus(pull.asked).compareTo(AGAIN) < 0) continue;
+                // One source of a range at a time: what two lack nothing of is fetched once.
+                if (pull.nonce == 0 && busy.contains(each.getKey().range)) continue;
+                if (pull.nonce == 0) pull.way = way(each.getKey().range);
                 if (waiting + repairs >= AT_ONCE || repair && repairs >= REPAIRS_AT_ONCE || !allowance.open(now)) break;
+                String source = each.getKey().source;
                 if (pull.asked != null) {
                     pull.silent++;
-                    know.remove(each.getKey().source); // it may not know of the epoch, and say nothing for that
+                    silent.merge(source, 1, Integer::sum);
+                    know.remove(source); // it may not know of the epoch, and say nothing for that
+                }
+                // Guards against one that is away and keeps all others waiting: it is asked now and then.
+                if (silent.getOrDefault(source, 0) >= SILENT) {
+                    Duration last = probed.get(source);
+                    if (last != null && now.minus(last).compareTo(AGAIN) < 0) {
+                        pull.asked = null;
+                        continue;
+                    }
+                    probed.put(source, now);
+                    outs.add(ask(each.getKey(), pull, layout, now));
+                    continue;
                 }
                 if (repair) repairs++;
                 else waiting++;
+                busy.add(each.getKey().range);
                 outs.add(ask(each.getKey(), pull, layout, now));
             }
         }
@@ -223,6 +257,7 @@
         Pull pull = pulls.get(at);
         if (pull == null || pull.nonce != page.nonce()) return Optional.empty();
         know.add(from);
+        silent.remove(from);
         pull.silent = 0;
         for (CopyMessage.Item item : page.items()) {
             allowance.spend(item.bytes());
@@ -255,7 +290,10 @@
     private boolean over(Pull pull, CopyMessage.Page page) {
         if (pull.way == Way.SKETCH) {
             // Guards against a fetch without end where there is no room for what comes: nothing has changed by it.
-            if (page.told()) return page.last() || pull.digest == stock.digest(page.range());
+            if (page.told()) {
+                pull.cells = cells(page.range(), page.count());
+                return page.last() || pull.digest == stock.digest(page.range());
+            }
             boolean far = page.count() > FAR * stock.count(page.range());
             if (!far && pull.cells < Sketch.MOST) {
                 pull.cells = Math.min(Sketch.MOST, pull.cells * LARGER);
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -153,6 +153,7 @@
             to.writeNumber(m.epoch());
             to.writeNumber(m.range());
             to.writeNumber(m.digest());
+            to.writeNumber(m.count());
             to.writeBoolean(m.back());
         } else if (message instanceof CopyMessage.Recollect m) {
             to.writeNumber(m.nonce());
@@ -215,7 +216,7 @@
             case 7 -> new CopyMessage.Fetch(Codec.number(in), range(in), Codec.number(in), order(in), place(in), sketch(in), layoutOrNone(in));
             case 8 -> new CopyMessage.Page(Codec.number(in), range(in), Codec.number(in), items(in), place(in), Codec.bool(in), Codec.bool(in), Codec.bool(in),
                 (int) Codec.number(in), Codec.number(in));
-            case 9 -> new CopyMessage.Compare(Codec.number(in), range(in), Codec.number(in), Codec.bool(in));
+            case 9 -> new CopyMessage.Compare(Codec.number(in), range(in), Codec.number(in), (int) Codec.number(in), Codec.bool(in));
             case 10 -> new CopyMessage.Recollect(Codec.number(in));
             case 11 -> new CopyMessage.Recollected(Codec.number(in), Codec.number(in));
             case 12 -> new CopyMessage.Want(Codec.text(in), id(in), (int) Codec.number(in));
--- a/src/test/java/ochretiller/fleet/peers/CodecTest.java
+++ b/src/test/java/ochretiller/fleet/peers/CodecTest.java
@@ -75,7 +75,7 @@
             new CopyMessage.Ended(4, "x", id, Outcome.apart("body", "r".repeat(9_000)), Duration.ofMillis(7), Map.of("a", 5L)), new CopyMessage.Kept(4, "x", id, 8), new CopyMessage.Release("x", id, Duration.ofMillis(7)),
             new CopyMessage.Whether("x", id), new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.NEWEST, new CopyMessage.Place(Long.MAX_VALUE, ""), null, layout),
             new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.TOKEN, new CopyMessage.Place(-5, "x"), Sketch.of(new byte[42]), null),
-            new CopyMessage.Page(4, 0, 3, items, new CopyMessage.Place(7, "y"), true, false, true, 12, -3), new CopyMessage.Compare(4, 7, -9, true),
+            new CopyMessage.Page(4, 0, 3, items, new CopyMessage.Place(7, "y"), true, false, true, 12, -3), new CopyMessage.Compare(4, 7, -9, 3, true),
             new CopyMessage.Recollect(3), new CopyMessage.Recollected(3, 9), new CopyMessage.Want("x", id, 3_072),
             new CopyMessage.Piece("x", id, 3_072, "caf\u00e9"));
     }
--- a/tools/src/main/java/ochretiller/tools/Tools.java
+++ b/tools/src/main/java/ochretiller/tools/Tools.java
@@ -60,6 +60,12 @@
         return 0;
     }
 
+    @Command(description = "Copies that are made equal: entries a second, bytes beside the bytes that differ.")
+    int copies(@Option(names = "--quick", description = "Up to 10 thousand entries.") boolean quick) throws Exception {
+        new CopiesBench().run(quick);
+        return 0;
+    }
+
     @Command(description = "Pools beside turns and least connections, in virtual time.")
     int pools() throws Exception {
         new PoolsBench().run();
