--- a/drill/src/main/java/ochretiller/drill/Drill.java
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -87,7 +87,12 @@
 
     @Command(name = "example", mixinStandardHelpOptions = true,
         description = "Three servers that find one another; one is killed with SIGKILL, and what the others see is shown.")
-    int example() throws Exception {
+    int example(@Option(names = "--copies", description = "Servers that keep copies: the repeat of a keyed request at another one.") boolean copies) throws Exception {
+        if (copies) {
+            try (Steps steps = new Steps(Files.createTempDirectory("example"), true, System.err::println)) {
+                return steps.example(System.out::println) ? 0 : BROKEN;
+            }
+        }
         FleetScript script = FleetScriptFile.of("""
             { name: 'example', seconds: 12, members: 3, zones: 3, incidents: [ { at_s: 5, what: 'kill', who: '3' } ],
               expect: { settled_s: 10, false_verdicts: 0 } }""", "example");
--- a/drill/src/main/java/ochretiller/drill/Steps.java
+++ b/drill/src/main/java/ochretiller/drill/Steps.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -65,6 +67,28 @@
         return broken;
     }
 
+    /** A keyed request at one server, which is then killed, and its repeat at another, shown as they happen; whether they were alike. */
+    boolean example(Consumer<String> out) throws Exception {
+        stage.raise((slot, body) -> {
+            ranAt.add(body + " at " + slot + " #" + numbers.incrementAndGet());
+            out.accept("m" + slot + "'s processor runs " + body);
+        });
+        String token = token("example");
+        String first = until(1, token, token, how -> how.startsWith("succeeded"));
+        out.accept("m1 answers: " + plain(first));
+        stage.box(1).kill();
+        out.accept("m1 is killed with SIGKILL");
+        String second = until(2, token, token, how -> how.startsWith("succeeded"));
+        out.accept("m2 answers the repeat: " + plain(second));
+        out.accept("runs of it in the fleet: " + runs(token));
+        return first.equals(second) && runs(token) == 1;
+    }
+
+    private static String plain(String how) {
+        int space = how.indexOf(' ');
+        return space < 0 ? how : how.substring(0, space) + ", " + new String(Base64.getDecoder().decode(how.substring(space + 1)), StandardCharsets.ISO_8859_1);
+    }
+
     // ---- the cases
 
     /** The keepers hear of its claim only when it is gone; once it is back its disk proves that nothing was begun. */
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -205,27 +205,34 @@
 
     private static CopyMessage copy(CBORParser in, int kind) throws IOException {
         return switch (kind) {
-            case 0 -> new CopyMessage.Claim(Codec.number(in), Codec.text(in), id(in), Codec.text(in), millis(in));
-            case 1 -> new CopyMessage.Look(Codec.number(in), Codec.text(in), id(in));
-            case 2 -> new CopyMessage.Answer(Codec.number(in), Codec.text(in), id(in), word(in), Codec.bool(in) ? Optional.of(id(in)) : Optional.empty(),
+            case 0 -> new CopyMessage.Claim(Codec.number(in), token(in), id(in), Codec.text(in), millis(in));
+            case 1 -> new CopyMessage.Look(Codec.number(in), token(in), id(in));
+            case 2 -> new CopyMessage.Answer(Codec.number(in), token(in), id(in), word(in), Codec.bool(in) ? Optional.of(id(in)) : Optional.empty(),
                 Codec.bool(in) ? Optional.of(outcome(in)) : Optional.empty(), Codec.number(in));
-            case 3 -> new CopyMessage.Ended(Codec.number(in), Codec.text(in), id(in), outcome(in), millis(in), heard(in));
-            case 4 -> new CopyMessage.Kept(Codec.number(in), Codec.text(in), id(in), Codec.number(in));
-            case 5 -> new CopyMessage.Release(Codec.text(in), id(in), millis(in));
-            case 6 -> new CopyMessage.Whether(Codec.text(in), id(in));
+            case 3 -> new CopyMessage.Ended(Codec.number(in), token(in), id(in), outcome(in), millis(in), heard(in));
+            case 4 -> new CopyMessage.Kept(Codec.number(in), token(in), id(in), Codec.number(in));
+            case 5 -> new CopyMessage.Release(token(in), id(in), millis(in));
+            case 6 -> new CopyMessage.Whether(token(in), id(in));
             case 7 -> new CopyMessage.Fetch(Codec.number(in), range(in), Codec.number(in), order(in), place(in), sketch(in), layoutOrNone(in));
             case 8 -> new CopyMessage.Page(Codec.number(in), range(in), Codec.number(in), items(in), place(in), Codec.bool(in), Codec.bool(in), Codec.bool(in),
                 (int) Codec.number(in), Codec.number(in));
             case 9 -> new CopyMessage.Compare(Codec.number(in), range(in), Codec.number(in), (int) Codec.number(in), Codec.bool(in));
             case 10 -> new CopyMessage.Recollect(Codec.number(in));
             case 11 -> new CopyMessage.Recollected(Codec.number(in), Codec.number(in));
-            case 12 -> new CopyMessage.Want(Codec.text(in), id(in), (int) Codec.number(in));
-            default -> new CopyMessage.Piece(Codec.text(in), id(in), (int) Codec.number(in), new String(binary(in), StandardCharsets.ISO_8859_1));
+            case 12 -> new CopyMessage.Want(token(in), id(in), (int) Codec.number(in));
+            default -> new CopyMessage.Piece(token(in), id(in), (int) Codec.number(in), new String(binary(in), StandardCharsets.ISO_8859_1));
         };
     }
 
     // ---- parts
 
+    /** Guards against a token that no key of the store has room for, from a peer that takes more than this program does. */
+    private static String token(CBORParser in) throws IOException {
+        String token = Codec.text(in);
+        if (!KeeperDisk.fits(token)) throw new IllegalArgumentException("no token");
+        return token;
+    }
+
     private static byte[] binary(CBORParser in) throws IOException {
         if (in.nextToken() != JsonToken.VALUE_EMBEDDED_OBJECT) throw new IllegalArgumentException("no bytes");
         return in.getBinaryValue();
@@ -408,7 +415,7 @@
 
     /** The rest of an item whose array has begun. */
     static CopyMessage.Item item(CBORParser in) throws IOException {
-        String token = Codec.text(in);
+        String token = token(in);
         Duration left = millis(in);
         Map<ClaimId, String> claims = new TreeMap<>();
         Codec.list(in, () -> {
--- a/src/main/java/ochretiller/fleet/peers/KeeperDisk.java
+++ b/src/main/java/ochretiller/fleet/peers/KeeperDisk.java
@@ -36,7 +36,7 @@
     private static final CBORFactory CBOR = new CBORFactory();
     private static final byte[] PLACE = {ENTRIES, 0};
     private static final byte[] NONE = {};
-    /** Longest token that fits a key beside the names of its claim. */
+    /** Longest token, in bytes, that fits a key beside the names of its claim. */
     private static final int LONGEST_TOKEN = 200;
 
     private final Store store;
@@ -69,7 +69,7 @@
     }
 
     static boolean fits(String token) {
-        return token.length() <= LONGEST_TOKEN;
+        return token.length() <= LONGEST_TOKEN && token.getBytes(StandardCharsets.UTF_8).length <= LONGEST_TOKEN;
     }
 
     /** What a former process has left, before the store is started. */
--- a/src/test/java/ochretiller/fleet/peers/CodecTest.java
+++ b/src/test/java/ochretiller/fleet/peers/CodecTest.java
@@ -98,6 +98,12 @@
         }
     }
 
+    @Test
+    void aTokenThatNoKeyHasRoomForIsRefused() {
+        byte[] bytes = codec.seal(from, new CopyMessage.Look(1, "\u20ac".repeat(90), new ClaimId("s", 1, 1)), 5);
+        assertThatThrownBy(() -> codec.open(bytes, bytes.length)).isInstanceOf(RefusedException.class);
+    }
+
     @Test
     void eachByteThatIsAnotherIsRefused() {
         byte[] good = codec.seal(new Packet(from, all().get(0)), 1);
