Ask for what has no room in a page by its marks, and size sketches by what differs

Change: a page tells the marks of what has no room in it, the next fetch names those; a sketch beside one whose count is known has 1.6 cells for each that it differs by, 12 at least.

--- a/src/main/java/ochretiller/fleet/copies/CopyMessage.java
+++ b/src/main/java/ochretiller/fleet/copies/CopyMessage.java
@@ -69,9 +69,10 @@
      * @param order  which way a walk goes through the range
      * @param place  where the last page ended, and nothing at the first
      * @param sketch of what the asker has, or null for a walk through all of it
+     * @param marks  of entries that the last page has told the asker to lack; empty where none were told
      * @param layout the epoch, for one that may not know it, or null
      */
-    record Fetch(long epoch, int range, long nonce, Order order, Place place, Sketch sketch, Layout layout) implements CopyMessage {
+    record Fetch(long epoch, int range, long nonce, Order order, Place place, Sketch sketch, List<Long> marks, Layout layout) implements CopyMessage {
     }
 
     /** Ways through a range. */
@@ -94,10 +95,11 @@
      * @param last  whether there is no more that the sender knows the asker to lack
      * @param whole whether the sender has all of the range
      * @param told  false where the sketch told nothing, since too much differs
+     * @param rest  marks of what a sketch has told beside what is here, or some of them
      * @param count entries that the sender has of the range
      * @param digest of all of them
      */
-    record Page(long epoch, int range, long nonce, List<Item> items, Place place, boolean last, boolean whole, boolean told, int count, long digest)
+    record Page(long epoch, int range, long nonce, List<Item> items, Place place, boolean last, boolean whole, boolean told, List<Long> rest, int count, long digest)
         implements CopyMessage {
     }
 
--- a/src/main/java/ochretiller/fleet/copies/Keeper.java
+++ b/src/main/java/ochretiller/fleet/copies/Keeper.java
@@ -22,6 +22,8 @@
 public final class Keeper {
     /** Bytes of a page, which goes in one datagram. */
     static final int PAGE = 5 * 1024;
+    /** Marks of what has no room in a page, which are told in it. */
+    private static final int REST = 200;
     /** What is saved up of the allowance at most, bytes: some pages. */
     private static final double BURST = 256 * 1024;
     /** A keeper that came back asks again after this; how long it waits for all, and for anybody. */
@@ -534,6 +536,8 @@
         if (fetch.sketch() != null) {
             difference = stock.sketch(range, fetch.sketch().cells()).less(fetch.sketch());
             if (difference.isPresent()) tokens = stock.marked(range, difference.get().mine());
+        } else if (!fetch.marks().isEmpty()) {
+            tokens = stock.marked(range, Set.copyOf(fetch.marks()));
         } else if (fetch.order() == CopyMessage.Order.NEWEST) {
             Duration until = fetch.place().untilNs() == Long.MAX_VALUE ? Duration.ofSeconds(Long.MAX_VALUE) : Duration.ofNanos(fetch.place().untilNs());
             tokens = stock.newest(range, until, fetch.place().token());
@@ -542,6 +546,7 @@
         }
         boolean told = fetch.sketch() == null || difference.isPresent();
         List<CopyMessage.Item> items = new ArrayList<>();
+        List<Long> rest = new ArrayList<>();
         int bytes = 0;
         boolean last = told;
         CopyMessage.Place place = fetch.place();
@@ -549,9 +554,12 @@
             Entry entry = entry(token);
             if (entry.until().compareTo(now) <= 0) continue;
             CopyMessage.Item item = new CopyMessage.Item(token, entry.told(Duration.ZERO), entry.until().minus(now));
-            if (bytes > 0 && bytes + item.bytes() > PAGE) {
+            if (!last || bytes > 0 && bytes + item.bytes() > PAGE) {
                 last = false;
-                break;
+                boolean walk = fetch.sketch() == null && fetch.marks().isEmpty();
+                if (walk || rest.size() == REST) break;
+                rest.add(stock.mark(token));
+                continue;
             }
             items.add(item);
             bytes += item.bytes();
@@ -559,8 +567,8 @@
         }
         sends.spend(bytes + Sketch.CELL);
         sentBytes += bytes;
-        outs.add(new Out(from, new CopyMessage.Page(layout.epoch(), range, fetch.nonce(), items, place, last, source(range), told, stock.count(range),
-            stock.digest(range))));
+        outs.add(new Out(from, new CopyMessage.Page(layout.epoch(), range, fetch.nonce(), items, place, last, source(range), told, rest,
+            stock.count(range), stock.digest(range))));
     }
 
     private void page(String from, CopyMessage.Page page, Duration now) {
--- a/src/main/java/ochretiller/fleet/copies/Pulls.java
+++ b/src/main/java/ochretiller/fleet/copies/Pulls.java
@@ -33,6 +33,9 @@
     /** Cells of a first sketch, and how much larger the next is where it told nothing. */
     private static final int FIRST_CELLS = 24;
     private static final int LARGER = 4;
+    /** Cells beside one of whom the count is known, at least, and for each by which the counts differ. */
+    private static final int LEAST_CELLS = 12;
+    private static final double CELLS_EACH = 1.6;
     /** From so many times as many entries on a walk is cheaper than a sketch of what differs. */
     private static final int FAR = 2;
 
@@ -72,7 +75,7 @@
         }
     }
 
-    private enum Way { SKETCH, NEWEST, TOKEN }
+    private enum Way { SKETCH, MARKS, NEWEST, TOKEN }
 
     private static final class Pull {
         final boolean repair;
@@ -84,6 +87,7 @@
         int silent;
         boolean walked;
         long digest;
+        List<Long> marks = List.of();
 
         Pull(boolean repair, Way way) {
             this.repair = repair;
@@ -175,7 +179,7 @@
 
     /** Cells for a sketch beside one who has so many entries: at least as many differ as one has more than the other. */
     private int cells(int range, int count) {
-        return Math.max(FIRST_CELLS, Math.min(Sketch.MOST, FIRST_CELLS / 2 + 2 * Math.abs(count - stock.count(range))));
+        return Math.max(LEAST_CELLS, Math.min(Sketch.MOST, LEAST_CELLS / 2 + (int) (CELLS_EACH * Math.abs(count - stock.count(range)))));
     }
 
     private Way way(int range) {
@@ -246,9 +250,11 @@
         pull.digest = stock.digest(at.range);
         // Beside the layout of a large fleet there is room for a small sketch only.
         boolean told = know.contains(at.source);
+        if (!told && pull.way == Way.MARKS) pull.way = Way.SKETCH;
         Sketch sketch = pull.way == Way.SKETCH ? stock.sketch(at.range, told ? pull.cells : Math.min(pull.cells, FIRST_CELLS)) : null;
         return new Keeper.Out(at.source, new CopyMessage.Fetch(layout.epoch(), at.range, pull.nonce,
-            pull.way == Way.TOKEN ? CopyMessage.Order.TOKEN : CopyMessage.Order.NEWEST, pull.place, sketch, told ? null : layout));
+            pull.way == Way.TOKEN ? CopyMessage.Order.TOKEN : CopyMessage.Order.NEWEST, pull.place, sketch, pull.way == Way.MARKS ? pull.marks : List.of(),
+            told ? null : layout));
     }
 
     /** A page has come and its items are taken; what to ask next of the same source, if anything. */
@@ -291,7 +297,7 @@
         if (pull.way == Way.SKETCH) {
             // Guards against a fetch without end where there is no room for what comes: nothing has changed by it.
             if (page.told()) {
-                pull.cells = cells(page.range(), page.count());
+                rest(pull, page);
                 return page.last() || pull.digest == stock.digest(page.range());
             }
             boolean far = page.count() > FAR * stock.count(page.range());
@@ -303,6 +309,12 @@
             }
             return false;
         }
+        if (pull.way == Way.MARKS) {
+            if (pull.digest == stock.digest(page.range()) || page.last() && page.digest() == stock.digest(page.range())) return true;
+            // What has changed meanwhile bears another mark: a sketch tells it, once all the others are here.
+            rest(pull, page);
+            return false;
+        }
         pull.place = page.place();
         if (!page.last()) return false;
         if (pull.way == Way.TOKEN || page.digest() == stock.digest(page.range())) return true;
@@ -313,11 +325,18 @@
         return false;
     }
 
+    /** What was told and is not here yet is asked for by its marks; with none, or none left, a sketch is next. */
+    private void rest(Pull pull, CopyMessage.Page page) {
+        pull.way = page.rest().isEmpty() ? Way.SKETCH : Way.MARKS;
+        pull.marks = page.rest();
+        pull.cells = cells(page.range(), page.count());
+    }
+
     String state() {
         StringBuilder text = new StringBuilder();
         catching.forEach((range, each) -> text.append('c').append(range).append(each.whole));
         pulls.forEach((at, pull) -> text.append('p').append(at).append(pull.repair).append(pull.way).append(pull.cells).append(pull.place).append(pull.asked == null)
-            .append(pull.silent).append(pull.walked));
+            .append(pull.silent).append(pull.walked).append(pull.marks));
         return text.append(know).toString();
     }
 }
--- a/src/main/java/ochretiller/fleet/copies/Stock.java
+++ b/src/main/java/ochretiller/fleet/copies/Stock.java
@@ -149,6 +149,12 @@
         return newest(range, kept -> marks.contains(kept.mark));
     }
 
+    long mark(String token) {
+        Range range = ranges.get(Layout.range(token));
+        Kept kept = range == null ? null : range.entries.get(token);
+        return kept == null ? 0 : kept.mark;
+    }
+
     /** Tokens of a range behind a place, those whose windows end last first. */
     List<String> newest(int range, Duration until, String after) {
         return newest(range, kept -> kept.entry.until().compareTo(until) <= 0).stream()
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -137,6 +137,7 @@
             to.writeNumber(m.order().ordinal());
             place(to, m.place());
             to.writeBinary(m.sketch() == null ? NONE : m.sketch().bytes());
+            marks(to, m.marks());
             layoutOrNone(to, m.layout());
         } else if (message instanceof CopyMessage.Page m) {
             to.writeNumber(m.epoch());
@@ -147,6 +148,7 @@
             to.writeBoolean(m.last());
             to.writeBoolean(m.whole());
             to.writeBoolean(m.told());
+            marks(to, m.rest());
             to.writeNumber(m.count());
             to.writeNumber(m.digest());
         } else if (message instanceof CopyMessage.Compare m) {
@@ -213,9 +215,9 @@
             case 4 -> new CopyMessage.Kept(Codec.number(in), token(in), id(in), Codec.number(in));
             case 5 -> new CopyMessage.Release(token(in), id(in), millis(in));
             case 6 -> new CopyMessage.Whether(token(in), id(in));
-            case 7 -> new CopyMessage.Fetch(Codec.number(in), range(in), Codec.number(in), order(in), place(in), sketch(in), layoutOrNone(in));
+            case 7 -> new CopyMessage.Fetch(Codec.number(in), range(in), Codec.number(in), order(in), place(in), sketch(in), Codec.numbers(in), layoutOrNone(in));
             case 8 -> new CopyMessage.Page(Codec.number(in), range(in), Codec.number(in), items(in), place(in), Codec.bool(in), Codec.bool(in), Codec.bool(in),
-                (int) Codec.number(in), Codec.number(in));
+                Codec.numbers(in), (int) Codec.number(in), Codec.number(in));
             case 9 -> new CopyMessage.Compare(Codec.number(in), range(in), Codec.number(in), (int) Codec.number(in), Codec.bool(in));
             case 10 -> new CopyMessage.Recollect(Codec.number(in));
             case 11 -> new CopyMessage.Recollected(Codec.number(in), Codec.number(in));
@@ -238,6 +240,12 @@
         return in.getBinaryValue();
     }
 
+    private static void marks(CBORGenerator to, List<Long> marks) throws IOException {
+        to.writeStartArray();
+        for (long each : marks) to.writeNumber(each);
+        to.writeEndArray();
+    }
+
     private static Sketch sketch(CBORParser in) throws IOException {
         byte[] bytes = binary(in);
         return bytes.length == 0 ? null : Sketch.of(bytes);
--- a/src/test/java/ochretiller/fleet/copies/CatchUpTest.java
+++ b/src/test/java/ochretiller/fleet/copies/CatchUpTest.java
@@ -97,6 +97,33 @@
         assertThat(keepers.get("a").fetched()).isEqualTo(30);
     }
 
+    @Test
+    void whatHasNoRoomInAPageIsAskedForByItsMarks() {
+        Map<String, Entry> all = new HashMap<>();
+        for (int i = 0; i < 2_000; i++) {
+            all.put("token-" + i, Entry.NOTHING.ended(new ClaimId("s", 1, i), new Outcome(true, "body", "r".repeat(1_500) + i), now.plusSeconds(20 + i % 30)));
+        }
+        Map<String, Entry> less = new HashMap<>(all);
+        for (int i = 0; i < 900; i++) less.remove("token-" + i);
+        keepers.put("a", keeper("a", less, 0, false));
+        keepers.put("b", keeper("b", all, 0, false));
+        keepers.put("c", keeper("c", all, 0, false));
+        keepers.get("a").compareAll();
+        loses = 0.05;
+        // What changes meanwhile bears another mark.
+        for (int i = 0; i < 300; i++) {
+            beats(1);
+            for (String each : List.of("b", "c")) {
+                keepers.get(each).received("x", new CopyMessage.Release("token-" + i % 900, new ClaimId("x", 1, i), WINDOW), now);
+            }
+        }
+        keepers.get("a").compareAll();
+        loses = 0;
+        beats(400);
+        same();
+        assertThat(keepers.get("a").fetched()).as("each once, and those that changed again").isLessThan(900 + 300 + 300);
+    }
+
     @Test
     void anEmptyOneHasAllWhateverIsLostOnTheWayAndNothingIsFetchedTwiceForThat() {
         Map<String, Entry> all = entries(3_000);
--- a/src/test/java/ochretiller/fleet/copies/CopiesTest.java
+++ b/src/test/java/ochretiller/fleet/copies/CopiesTest.java
@@ -64,7 +64,7 @@
         assertThat(keeper.size()).isZero();
         Entry late = Entry.NOTHING.claimed(one, "body", now);
         keeper.received("b", new CopyMessage.Page(3, Layout.range("t"), 1, List.of(new CopyMessage.Item("t", late, Duration.ZERO)), CopyMessage.Place.START, true, true,
-            true, 1, 0), now);
+            true, List.of(), 1, 0), now);
         assertThat(keeper.size()).isZero();
     }
 
--- a/src/test/java/ochretiller/fleet/peers/CodecTest.java
+++ b/src/test/java/ochretiller/fleet/peers/CodecTest.java
@@ -73,9 +73,9 @@
             new CopyMessage.Answer(4, "x", id, CopyMessage.Word.HELD, Optional.of(id), Optional.empty(), 17),
             new CopyMessage.Answer(4, "x", id, CopyMessage.Word.DONE, Optional.empty(), Optional.of(outcome), -1),
             new CopyMessage.Ended(4, "x", id, Outcome.apart("body", "r".repeat(9_000)), Duration.ofMillis(7), Map.of("a", 5L)), new CopyMessage.Kept(4, "x", id, 8), new CopyMessage.Release("x", id, Duration.ofMillis(7)),
-            new CopyMessage.Whether("x", id), new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.NEWEST, new CopyMessage.Place(Long.MAX_VALUE, ""), null, layout),
-            new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.TOKEN, new CopyMessage.Place(-5, "x"), Sketch.of(new byte[42]), null),
-            new CopyMessage.Page(4, 0, 3, items, new CopyMessage.Place(7, "y"), true, false, true, 12, -3), new CopyMessage.Compare(4, 7, -9, 3, true),
+            new CopyMessage.Whether("x", id), new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.NEWEST, new CopyMessage.Place(Long.MAX_VALUE, ""), null, List.of(7L, -7L), layout),
+            new CopyMessage.Fetch(4, 255, 3, CopyMessage.Order.TOKEN, new CopyMessage.Place(-5, "x"), Sketch.of(new byte[42]), List.of(), null),
+            new CopyMessage.Page(4, 0, 3, items, new CopyMessage.Place(7, "y"), true, false, true, List.of(5L), 12, -3), new CopyMessage.Compare(4, 7, -9, 3, true),
             new CopyMessage.Recollect(3), new CopyMessage.Recollected(3, 9), new CopyMessage.Want("x", id, 3_072),
             new CopyMessage.Piece("x", id, 3_072, "caf\u00e9"));
     }
--- a/tools/src/main/java/ochretiller/tools/CopiesBench.java
+++ b/tools/src/main/java/ochretiller/tools/CopiesBench.java
@@ -79,7 +79,7 @@
     }
 
     private int page(List<CopyMessage.Item> items) {
-        return sealed(new CopyMessage.Page(3, 1, 1, items, new CopyMessage.Place(1, ""), true, true, true, 1, 1));
+        return sealed(new CopyMessage.Page(3, 1, 1, items, new CopyMessage.Place(1, ""), true, true, true, List.of(), 1, 1));
     }
 
     private record Sent(String from, Keeper.Out out) {
