Tell how long claims wait; measure what copies cost keyed invocations

Need: operators could not see what a claim adds to a keyed invocation. Change: fleet_claim_p50_seconds and p99; drill cost plays closed callers on servers without copies, with copies in memory, on disk, beside a bare round trip.

--- /dev/null
+++ b/drill/src/main/java/ochretiller/drill/Cost.java
@@ -0,0 +1,155 @@
+package ochretiller.drill;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import ochretiller.emulator.fleet.FleetScript;
+import ochretiller.emulator.fleet.FleetScriptFile;
+import ochretiller.standin.Daemon;
+import ochretiller.standin.Gateways;
+import ochretiller.standin.Wire;
+
+/** What copies cost: keyed and idempotent invocations at servers that keep copies, on a disk or in memory, and at servers that do not. */
+final class Cost {
+    /** Bytes of a sealed claim and of its answer, echoed beside the load for a bare round trip. */
+    private static final int PACKET = 300;
+    private static final int WARM_S = 3;
+
+    private final int members;
+    private final int callers;
+    private final int seconds;
+    private final Consumer<String> progress;
+
+    Cost(int members, int callers, int seconds, Consumer<String> progress) {
+        this.members = members;
+        this.callers = callers;
+        this.seconds = seconds;
+        this.progress = progress;
+    }
+
+    /** Times of one kind, microseconds. */
+    private static final class Times {
+        private final List<Long> micros = new ArrayList<>();
+
+        synchronized void add(long nanos) {
+            micros.add(nanos / 1000);
+        }
+
+        synchronized double ms(double percentile) {
+            long[] all = micros.stream().mapToLong(Long::longValue).sorted().toArray();
+            return all.length == 0 ? Double.NaN : all[(int) Math.min(all.length - 1, all.length * percentile / 100)] / 1e3;
+        }
+
+        synchronized int count() {
+            return micros.size();
+        }
+    }
+
+    /** One row: how copies are kept, and what came of the load. */
+    String row(Path folder, boolean copies, boolean store) throws Exception {
+        FleetScript script = FleetScriptFile.of("{ name: 'cost', seconds: 1, members: " + members + ", zones: 3, seeds: 3, copies: true, store: " + store + " }", "cost");
+        Times keyed = new Times();
+        Times reads = new Times();
+        Times bare = new Times();
+        AtomicLong refused = new AtomicLong();
+        try (Stage stage = new Stage(script, 1, folder, true, copies, progress)) {
+            stage.raise((slot, body) -> { });
+            AtomicInteger numbers = new AtomicInteger();
+            long begins = System.nanoTime() + WARM_S * 1_000_000_000L;
+            long ends = begins + seconds * 1_000_000_000L;
+            List<Thread> threads = new ArrayList<>();
+            for (int i = 0; i < callers; i++) {
+                int slot = 1 + i % members;
+                boolean isKeyed = i / members % 2 == 0;
+                threads.add(thread(() -> {
+                    try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), stage.box(slot).serves))) {
+                        while (System.nanoTime() < ends) {
+                            int number = numbers.incrementAndGet();
+                            long at = System.nanoTime();
+                            wire.send(Gateways.message(number, isKeyed ? "order" : "read",
+                                Gateways.params(String.format("%016x", number), isKeyed ? String.format("%032x", number) : null, "b" + number)));
+                            String line = wire.line();
+                            if (line == null) return;
+                            if (at < begins) continue;
+                            if (line.contains("\"result\"")) (isKeyed ? keyed : reads).add(System.nanoTime() - at);
+                            else refused.incrementAndGet();
+                        }
+                    }
+                }));
+            }
+            threads.add(thread(() -> echo(bare, begins, ends)));
+            for (Thread thread : threads) thread.join((WARM_S + seconds + 15) * 1000L);
+            Thread.sleep(1_500); // figures are written each second
+            double forces = 0;
+            double records = 0;
+            double p50 = 0;
+            double p99 = 0;
+            for (int i = 1; i <= members; i++) {
+                Path file = folder.resolve("server-" + i).resolve("metrics.prom");
+                forces += figure(file, "ochretiller_store_forces_total");
+                records += figure(file, "ochretiller_store_records_total");
+                p50 += figure(file, "fleet_claim_p50_seconds") * 1e3 / members;
+                p99 = Math.max(p99, figure(file, "fleet_claim_p99_seconds") * 1e3);
+            }
+            return String.format(Locale.ROOT, "%d,%s,%d,%.0f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.3f,%.3f,%.1f,%d", members, !copies ? "none" : store ? "disk" : "memory", callers,
+                keyed.count() / (double) seconds, keyed.ms(50), keyed.ms(99), keyed.ms(99.9), reads.ms(50), reads.ms(99), p50, p99, bare.ms(50), bare.ms(99),
+                forces == 0 ? 0 : records / forces, refused.get());
+        }
+    }
+
+    static final String HEAD = "servers,copies,callers,keyed a second,keyed p50 ms,keyed p99 ms,keyed p99.9 ms,idempotent p50 ms,idempotent p99 ms,"
+        + "claim p50 ms (mean of servers),claim p99 ms (worst server),bare round trip p50 ms,bare p99 ms,records a force,refused";
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static Thread thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // its row tells by what is missing
+            }
+        }, "cost");
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    private static void echo(Times bare, long begins, long ends) throws IOException, InterruptedException {
+        try (DatagramSocket one = new DatagramSocket(0, InetAddress.getLoopbackAddress()); DatagramSocket two = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            one.setSoTimeout(1_000);
+            Daemon.start(() -> {
+                DatagramPacket packet = new DatagramPacket(new byte[PACKET], PACKET);
+                while (!two.isClosed()) {
+                    two.receive(packet);
+                    two.send(packet);
+                }
+            });
+            DatagramPacket packet = new DatagramPacket(new byte[PACKET], PACKET, InetAddress.getLoopbackAddress(), two.getLocalPort());
+            while (System.nanoTime() < ends) {
+                long at = System.nanoTime();
+                one.send(packet);
+                one.receive(new DatagramPacket(new byte[PACKET], PACKET));
+                if (at > begins) bare.add(System.nanoTime() - at);
+                Thread.sleep(5);
+            }
+        }
+    }
+
+    private static double figure(Path file, String name) throws IOException {
+        return Files.exists(file) ? Files.readAllLines(file).stream().filter(line -> line.startsWith(name + " ")).mapToDouble(line -> Double.parseDouble(line.split(" ")[1]))
+            .findFirst().orElse(0) : 0;
+    }
+}
--- a/drill/src/main/java/ochretiller/drill/Drill.java
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -85,6 +86,23 @@
         }
     }
 
+    @Command(name = "cost", mixinStandardHelpOptions = true, description = "What copies cost keyed and idempotent invocations, beside servers without them.")
+    int cost(@Option(names = "--members", defaultValue = "3,8", split = ",") List<Integer> members, @Option(names = "--callers", defaultValue = "4", description = "For each server.") int callers,
+             @Option(names = "--seconds", defaultValue = "8") int seconds, @Option(names = "--out", description = "A file for the table.") Path out) throws Exception {
+        List<String> rows = new ArrayList<>(List.of(Cost.HEAD));
+        System.out.println(Cost.HEAD);
+        for (int size : members) {
+            for (int kind = 0; kind < 3; kind++) {
+                Cost cost = new Cost(size, callers * size, seconds, System.err::println);
+                String row = cost.row(Files.createTempDirectory("cost"), kind > 0, kind == 2);
+                System.out.println(row);
+                rows.add(row);
+            }
+        }
+        if (out != null) Files.write(out, rows);
+        return 0;
+    }
+
     @Command(name = "example", mixinStandardHelpOptions = true,
         description = "Three servers that find one another; one is killed with SIGKILL, and what the others see is shown.")
     int example(@Option(names = "--copies", description = "Servers that keep copies: the repeat of a keyed request at another one.") boolean copies) throws Exception {
--- a/src/main/java/ochretiller/fleet/peers/Copies.java
+++ b/src/main/java/ochretiller/fleet/peers/Copies.java
@@ -97,6 +97,7 @@
     private final Metrics.Counter throttled;
     private final Metrics.Counter unknown;
     private final Metrics.Counter unkept;
+    private final Waits waits = new Waits();
     private final Metrics.Counter settledNever;
     private final Metrics.Counter settledEnds;
     private final long start;
@@ -193,6 +194,8 @@
         metrics.gauge("fleet_oldest_gap_seconds", "How long the range that has waited longest is not whole", () -> figures.gap);
         metrics.gauge("fleet_entries", "Tokens that this server keeps for the fleet", () -> figures.entries);
         metrics.gauge("fleet_entries_bytes", "Bytes of those, as reckoned", () -> figures.bytes);
+        metrics.gauge("fleet_claim_p50_seconds", "Half of the last 1,024 granted claims had their majority within this", () -> waits.seconds(50));
+        metrics.gauge("fleet_claim_p99_seconds", "Of those, 99 of 100", () -> waits.seconds(99));
         metrics.gauge("fleet_claim_limit", "Claims that may be under way", () -> figures.limit);
         metrics.gauge("fleet_hints", "Ranges that have changed while a keeper of them is away, or is yet to be told so", () -> figures.hints);
         metrics.gauge("fleet_words_waiting", "A keeper's words that wait for the disk", () -> figures.waiting);
@@ -249,6 +252,7 @@
             for (Seen seen : view.get()) if (seen.member().state().live()) live.add(seen.member().id().name());
             keeper.there(live);
             conflicts();
+            waits.publish();
         }
         if (disk != null) commit.tick(now).forEach(this::write);
         tell(now);
@@ -559,9 +563,13 @@
             then.accept(new Verdict(Verdict.What.REPLAY, null, known));
             return;
         }
-        claims.claim(token, body, due, windowEnds, schedule.now(), verdict -> {
+        Duration began = schedule.now();
+        claims.claim(token, body, due, windowEnds, began, verdict -> {
             switch (verdict.what()) {
-                case RUN -> granted.add();
+                case RUN -> {
+                    granted.add();
+                    waits.add(schedule.now().minus(began));
+                }
                 case REPLAY -> {
                     replayed.add();
                     near.put(token, verdict.outcome());
