Bound what is kept near of long results; one piece for what copies had twice

Cause, from a reading of the whole change: replays were kept near by number alone, a thousand of them, which with results of up to 512 KB could fill a memory of 64 MB. Release was said to keepers in four places, silence was counted in two, lists of numbers were written in four, JSON of the operators' door in two, and what a fleet calls a body was put together in two, which have to agree.

Change: long results are not kept near, a repeat fetches them again; each of the others is one piece (Claims.neverRan, Silence, Codec.numbers, JsonText, Host.body). Figures are made at the look, every half second, and not at each beat; tokens with two ends are told as they come and not looked for through all entries. Code that nobody called is gone.

--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -87,8 +87,7 @@
     }
 
     /** Takes an image of its disk as it is, in the midst of whatever is written. */
-    void image(boolean takes) throws IOException {
-        if (!takes) return;
+    void takeImage() throws IOException {
         Disks.delete(image());
         Disks.copy(store(), image());
     }
--- a/drill/src/main/java/ochretiller/drill/Stage.java
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -48,6 +48,7 @@
     private final Path folder;
     private final boolean viewOn;
     private final boolean copiesOn;
+    private final boolean stores;
     private final Consumer<String> progress;
     private final Map<Integer, Box> boxes = new TreeMap<>();
     private final Map<Integer, Integer> real = new HashMap<>();
@@ -73,6 +74,7 @@
         this.folder = folder;
         this.viewOn = viewOn;
         this.copiesOn = copiesOn && viewOn && script.copies();
+        this.stores = this.copiesOn && script.store();
         this.progress = progress;
         Seeds seeds = new Seeds(seed);
         this.chance = seeds.of("floods");
@@ -84,7 +86,7 @@
     History play() throws IOException, InterruptedException {
         // Script time begins when the members of the script are there; before it they start as they can.
         history = new History(System.nanoTime() + 3_600_000_000_000L);
-        for (Plan.Slot slot : plan.slots()) box(slot);
+        for (Plan.Slot slot : plan.slots()) box(slot, this::ran);
         links.start();
         for (Plan.Action action : plan.actions()) if (first(action)) start(action);
         for (Plan.Action action : plan.actions()) {
@@ -125,9 +127,7 @@
 
     /** Starts all servers of the script, and tells of each run that is begun; nothing else is played. */
     void raise(BiConsumer<Integer, String> ran) throws IOException, InterruptedException {
-        for (Plan.Slot slot : plan.slots()) {
-            boxes.put(slot.number(), new Box(slot, folder, history, (rid, operation, body) -> ran.accept(slot.number(), body)));
-        }
+        for (Plan.Slot slot : plan.slots()) box(slot, ran);
         links.start();
         for (Plan.Action action : plan.actions()) start(action);
         for (Box box : boxes.values()) if (!box.awaitPart()) throw new IOException("server " + box.slot.number() + " did not start");
@@ -179,8 +179,8 @@
         return false;
     }
 
-    private void box(Plan.Slot slot) throws IOException {
-        boxes.put(slot.number(), new Box(slot, folder, history, (rid, operation, body) -> ran(slot.number(), body)));
+    private void box(Plan.Slot slot, BiConsumer<Integer, String> ran) throws IOException {
+        boxes.put(slot.number(), new Box(slot, folder, history, (rid, operation, body) -> ran.accept(slot.number(), body)));
     }
 
     private void ran(int slot, String body) {
@@ -210,7 +210,7 @@
             seeds.add(relayed.get(i));
         }
         box.start(listen, relayed.get(action.address()), seeds, script.probeMs(), viewOn,
-            clock(action), copiesOn ? Math.min(3, script.members()) : 0, copiesOn && script.store());
+            clock(action), copiesOn ? Math.min(3, script.members()) : 0, stores);
     }
 
     private double clock(Plan.Action action) {
@@ -234,11 +234,13 @@
             case START -> {
                 Integer before = addressOf.get(action.slot());
                 box.awaitEnd();
-                if (script.store() && copiesOn) box.disk(action.disk());
+                if (stores) box.disk(action.disk());
                 start(action);
                 if (viewOn && (before == null || before != action.address())) watch(box);
             }
-            case IMAGE -> box.image(script.store() && copiesOn);
+            case IMAGE -> {
+                if (stores) box.takeImage();
+            }
             case KILL -> box.kill();
             case PAUSE -> box.pause();
             case RESUME -> box.resume();
--- a/drill/src/main/java/ochretiller/drill/Steps.java
+++ b/drill/src/main/java/ochretiller/drill/Steps.java
@@ -9,7 +9,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -36,7 +36,8 @@
     private final Stage stage;
     private final Consumer<String> progress;
     private final AtomicInteger numbers = new AtomicInteger();
-    private final Set<String> ranAt = ConcurrentHashMap.newKeySet();
+    /** Runs that were begun, by what was asked for: of all but one case that is the token. */
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final BlockingQueue<Runnable> held = new LinkedBlockingQueue<>();
     private final List<String> broken = new ArrayList<>();
     /** Lets the run that was begun last end. */
@@ -52,9 +53,7 @@
 
     /** Plays all of it; what was broken, a line each. */
     List<String> play() throws Exception {
-        stage.raise((slot, body) -> {
-            if (!ranAt.add(body + " at " + slot + " #" + numbers.incrementAndGet())) throw new IllegalStateException();
-        });
+        stage.raise((slot, body) -> ran(body));
         killedWithItsClaimOnTheWay();
         killedAsItRuns();
         killedBehindItsAnswer();
@@ -70,7 +69,7 @@
     /** A keyed request at one server, which is then killed, and its repeat at another, shown as they happen; whether they were alike. */
     boolean example(Consumer<String> out) throws Exception {
         stage.raise((slot, body) -> {
-            ranAt.add(body + " at " + slot + " #" + numbers.incrementAndGet());
+            ran(body);
             out.accept("m" + slot + "'s processor runs " + body);
         });
         String token = token("example");
@@ -215,8 +214,12 @@
         if (!good) broken.add(token + ": " + what);
     }
 
-    private long runs(String token) {
-        return ranAt.stream().filter(each -> each.startsWith(token + " at ")).count();
+    private void ran(String token) {
+        runs.merge(token, 1, Integer::sum);
+    }
+
+    private int runs(String token) {
+        return runs.getOrDefault(token, 0);
     }
 
     /** Asks one whose run is begun and does not end. */
--- a/src/main/java/ochretiller/fleet/copies/ClaimLimit.java
+++ b/src/main/java/ochretiller/fleet/copies/ClaimLimit.java
@@ -1,8 +1,6 @@
 package ochretiller.fleet.copies;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 
 /**
  * How many claims may be under way, and whose silence is known. The limit climbs while claims are granted in time and what is
@@ -12,14 +10,12 @@
     private static final int FIRST = 32;
     private static final int LEAST = 2;
     private static final int MOST = 4096;
-    /** Questions in a row without a word by which a keeper counts as silent, and how often such a one is asked all the same. */
-    private static final int UNANSWERED = 3;
+    /** How often a claim goes out although most of its keepers are silent. */
     private static final Duration PROBE = Duration.ofMillis(200);
-    private static final int KEEPERS = 4096;
 
     private double limit = FIRST;
     private int underWay;
-    private final Map<String, Integer> unanswered = new HashMap<>();
+    private final Silence silence = new Silence();
     private Duration probed = Duration.ZERO;
 
     boolean room() {
@@ -42,15 +38,15 @@
     }
 
     void asked(String keeper) {
-        if (unanswered.size() < KEEPERS) unanswered.merge(keeper, 1, Integer::sum);
+        silence.unanswered(keeper);
     }
 
     void heard(String keeper) {
-        unanswered.remove(keeper);
+        silence.heard(keeper);
     }
 
     boolean silent(String keeper) {
-        return unanswered.getOrDefault(keeper, 0) >= UNANSWERED;
+        return silence.silent(keeper);
     }
 
     /** Whether a claim may go out although most of its keepers are silent: now and then one, to hear when they are back. */
--- a/src/main/java/ochretiller/fleet/copies/Claims.java
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -116,7 +116,6 @@
         final String result;
         Consumer<Boolean> then;
         Duration said;
-        Duration began;
         int later;
         final Set<String> kept = new HashSet<>();
 
@@ -275,11 +274,14 @@
         }
     }
 
-    /** It is known that this claim never ran and never will: its keepers are told, and whoever asks. */
     private void release(Attempt attempt, Duration now) {
-        if (!attempt.claims) return;
-        releasedIds.put(attempt.id, attempt.windowEnds);
-        for (String keeper : keepers(attempt.token)) send(keeper, new CopyMessage.Release(attempt.token, attempt.id, until(attempt.windowEnds, now)));
+        if (attempt.claims) neverRan(attempt.token, attempt.id, attempt.windowEnds, now);
+    }
+
+    /** A claim, of this start of the server or a former one, is known never to have run: its keepers are told, and whoever asks. */
+    public void neverRan(String token, ClaimId id, Duration windowEnds, Duration now) {
+        releasedIds.put(id, windowEnds);
+        for (String keeper : keepers(token)) send(keeper, new CopyMessage.Release(token, id, until(windowEnds, now)));
     }
 
     private void end(Attempt attempt, Verdict.What what, Outcome outcome, boolean timely) {
@@ -316,7 +318,7 @@
             Duration ends = releasedIds.get(whether.id());
             if (ends == null) return;
             send(from, new CopyMessage.Release(whether.token(), whether.id(), until(ends, now)));
-            for (String keeper : keepers(whether.token())) send(keeper, new CopyMessage.Release(whether.token(), whether.id(), until(ends, now)));
+            neverRan(whether.token(), whether.id(), ends, now);
         }
     }
 
@@ -425,9 +427,7 @@
     /** A claimed run has never begun after all: somebody else may have it. */
     public void neverRan(ClaimId id, Duration windowEnds, Duration now) {
         Running run = running.remove(id);
-        if (run == null) return;
-        releasedIds.put(id, windowEnds);
-        for (String keeper : keepers(run.token)) send(keeper, new CopyMessage.Release(run.token, id, until(windowEnds, now)));
+        if (run != null) neverRan(run.token, id, windowEnds, now);
     }
 
     /**
@@ -446,17 +446,10 @@
         String held = outcome.big() && results + outcome.size() <= MOST_RESULTS ? result : null;
         if (held != null) results += held.length();
         Ending ending = new Ending(run, outcome, held, due, windowEnds, then);
-        ending.began = now;
         endings.put(id, ending);
         tell(id, ending, now);
     }
 
-    /** A claim of a former start of this server is known never to have run: its keepers are told. */
-    public void formerNeverRan(String token, ClaimId id, Duration windowEnds, Duration now) {
-        releasedIds.put(id, windowEnds);
-        for (String keeper : keepers(token)) send(keeper, new CopyMessage.Release(token, id, until(windowEnds, now)));
-    }
-
     /** A claim of a former start of this server is known to have ended so: the keepers hear of it as of any end. */
     public void formerEnded(String token, ClaimId id, Outcome outcome, String result, Duration windowEnds, Duration now) {
         if (endings.containsKey(id)) return;
--- a/src/main/java/ochretiller/fleet/copies/Commit.java
+++ b/src/main/java/ochretiller/fleet/copies/Commit.java
@@ -63,11 +63,6 @@
         return unsaid;
     }
 
-    /** Writes that wait for the disk. */
-    public int underWay() {
-        return writes.size();
-    }
-
     /**
      * Something has changed, and this is to be said of it.
      *
--- a/src/main/java/ochretiller/fleet/copies/Keeper.java
+++ b/src/main/java/ochretiller/fleet/copies/Keeper.java
@@ -147,18 +147,9 @@
         if (others.remove(name) && !others.isEmpty()) pulls.catchUp(range, others, others.size(), false, true, now, now.plus(bounds.longest));
     }
 
-    /** All that has to be on disk before {@link #outs} leave. */
-    public Disk disk() {
-        return place(stock.all());
-    }
-
-    /** The same without its entries, for a host that writes those as they change. */
+    /** What has to be on disk, beside the entries that change, before {@link #outs} leave. */
     public Disk place() {
-        return place(Map.of());
-    }
-
-    private Disk place(Map<String, Entry> entries) {
-        return new Disk(layout, entries, pulls.rangesBehind(), pulls.rangesForgotten(), Set.copyOf(lost), number, true);
+        return new Disk(layout, Map.of(), pulls.rangesBehind(), pulls.rangesForgotten(), Set.copyOf(lost), number, true);
     }
 
     /** Tokens that have changed since this was asked last, and whether anything else has: those go to disk before {@link #outs}. */
@@ -280,10 +271,6 @@
         return stock.list(range, most);
     }
 
-    public Map<String, Entry> entries() {
-        return stock.all();
-    }
-
     /** The number of the last change of a token. */
     public long number(String token) {
         return stock.number(token);
@@ -294,13 +281,9 @@
         if (entry.until().compareTo(Duration.ZERO) > 0) put(token, entry(token).join(entry));
     }
 
-    /** Tokens with two ends, some of them. */
-    public Map<String, Entry> conflicting(int most) {
-        Map<String, Entry> all = new TreeMap<>();
-        stock.all().forEach((token, entry) -> {
-            if (entry.conflict() && all.size() < most) all.put(token, entry);
-        });
-        return all;
+    /** Tokens that came to have two ends since this was asked last, some of them. */
+    public List<String> conflicting() {
+        return stock.conflicting();
     }
 
     private void put(String token, Entry entry) {
--- a/src/main/java/ochretiller/fleet/copies/Pieces.java
+++ b/src/main/java/ochretiller/fleet/copies/Pieces.java
@@ -21,7 +21,6 @@
 
     private final Map<Key, Coming> coming = new LinkedHashMap<>();
     private long bytes;
-    private long spoilt;
 
     private record Key(String token, ClaimId id) {
     }
@@ -47,11 +46,6 @@
         }
     }
 
-    /** Results that did not have the sum that their ends tell. */
-    long spoilt() {
-        return spoilt;
-    }
-
     /** Asks for one, of whoever was named last; without room it is left, and may be asked for again. */
     void want(String token, ClaimId id, Outcome outcome, String from, long epoch, Duration now) {
         if (outcome.size() > Outcome.LONGEST || outcome.size() <= 0) return;
@@ -107,10 +101,8 @@
         if (--each.missing > 0) return Optional.empty();
         gone(key);
         String result = String.join("", each.pieces);
-        if (Outcome.sum(result) != each.outcome.sum()) {
-            spoilt++; // it is asked for again by whoever needs it
-            return Optional.empty();
-        }
+        // Guards against a result that is not what its end tells: it is asked for again by whoever needs it.
+        if (Outcome.sum(result) != each.outcome.sum()) return Optional.empty();
         return Optional.of(new Whole(key.token, key.id, result, each.from, each.epoch));
     }
 
--- a/src/main/java/ochretiller/fleet/copies/Pulls.java
+++ b/src/main/java/ochretiller/fleet/copies/Pulls.java
@@ -28,8 +28,6 @@
     private static final Duration AGAIN = Duration.ofMillis(300);
     /** A repair whose source says nothing so often is given up: a comparison will find it again. */
     private static final int TRIES = 5;
-    /** Questions without an answer by which a source counts as away. */
-    private static final int SILENT = 3;
     /** Cells of a first sketch, and how much larger the next is where it told nothing. */
     private static final int FIRST_CELLS = 24;
     private static final int LARGER = 4;
@@ -46,7 +44,7 @@
     private final Map<Place, Pull> pulls = new LinkedHashMap<>();
     /** Who has said something in this epoch, and needs to be told of it no more. */
     private final Set<String> know = new HashSet<>();
-    private final Map<String, Integer> silent = new HashMap<>();
+    private final Silence silence = new Silence();
     private final Map<String, Duration> probed = new HashMap<>();
     private long nonce;
     private long bytes;
@@ -145,7 +143,7 @@
     /** Whoever is asked in a later epoch has to be told of it, and what was under way in the last one is void. */
     void epoch() {
         know.clear();
-        silent.clear();
+        silence.clear();
         probed.clear();
         pulls.clear();
     }
@@ -196,7 +194,7 @@
         Set<Integer> busy = new HashSet<>();
         for (Map.Entry<Place, Pull> each : pulls.entrySet()) {
             Pull pull = each.getValue();
-            if (pull.asked == null || now.minus(pull.asked).compareTo(AGAIN) >= 0 || silent.getOrDefault(each.getKey().source, 0) >= SILENT) continue;
+            if (pull.asked == null || now.minus(pull.asked).compareTo(AGAIN) >= 0 || silence.silent(each.getKey().source)) continue;
             busy.add(each.getKey().range);
             if (pull.repair) repairs++;
             else waiting++;
@@ -221,11 +219,11 @@
                 String source = each.getKey().source;
                 if (pull.asked != null) {
                     pull.silent++;
-                    silent.merge(source, 1, Integer::sum);
+                    silence.unanswered(source);
                     know.remove(source); // it may not know of the epoch, and say nothing for that
                 }
                 // Guards against one that is away and keeps all others waiting: it is asked now and then.
-                if (silent.getOrDefault(source, 0) >= SILENT) {
+                if (silence.silent(source)) {
                     Duration last = probed.get(source);
                     if (last != null && now.minus(last).compareTo(AGAIN) < 0) {
                         pull.asked = null;
@@ -263,7 +261,7 @@
         Pull pull = pulls.get(at);
         if (pull == null || pull.nonce != page.nonce()) return Optional.empty();
         know.add(from);
-        silent.remove(from);
+        silence.heard(from);
         pull.silent = 0;
         for (CopyMessage.Item item : page.items()) {
             allowance.spend(item.bytes());
--- a/src/main/java/ochretiller/fleet/copies/Stock.java
+++ b/src/main/java/ochretiller/fleet/copies/Stock.java
@@ -21,8 +21,12 @@
     /** Between two looks through a range: a window may seem that much longer. */
     private static final Duration SWEEPS = Duration.ofSeconds(1);
 
+    /** Tokens with two ends that wait to be told of. */
+    private static final int MOST_TOLD = 20;
+
     private final TreeMap<Integer, Range> ranges = new TreeMap<>();
     private final Set<String> changed = new LinkedHashSet<>();
+    private final List<String> conflicting = new ArrayList<>();
     private int size;
     private long bytes;
     private long conflicts;
@@ -59,6 +63,13 @@
         return conflicts;
     }
 
+    /** Tokens that came to have two ends since this was asked last, as many as are told of at once. */
+    List<String> conflicting() {
+        List<String> all = List.copyOf(conflicting);
+        conflicting.clear();
+        return all;
+    }
+
     Entry get(String token) {
         Range range = ranges.get(Layout.range(token));
         Kept kept = range == null ? null : range.entries.get(token);
@@ -82,7 +93,10 @@
         range.digest ^= kept.mark ^ (old == null ? 0 : old.mark);
         bytes += entry.bytes() - (old == null ? 0 : old.entry.bytes());
         if (old == null) size++;
-        if (entry.conflict() && (old == null || !old.entry.conflict())) conflicts++;
+        if (entry.conflict() && (old == null || !old.entry.conflict())) {
+            conflicts++;
+            if (conflicting.size() < MOST_TOLD) conflicting.add(token);
+        }
         if (entry.until().compareTo(range.earliest) < 0) range.earliest = entry.until();
         changed.add(token);
         return true;
--- a/src/main/java/ochretiller/fleet/peers/Codec.java
+++ b/src/main/java/ochretiller/fleet/peers/Codec.java
@@ -286,7 +286,7 @@
         return all;
     }
 
-    private static void numbers(CBORGenerator to, List<Long> numbers) throws IOException {
+    static void numbers(CBORGenerator to, List<Long> numbers) throws IOException {
         to.writeStartArray(null, numbers.size());
         for (long each : numbers) to.writeNumber(each);
         to.writeEndArray();
--- a/src/main/java/ochretiller/fleet/peers/Copies.java
+++ b/src/main/java/ochretiller/fleet/peers/Copies.java
@@ -25,7 +25,6 @@
 import ochretiller.fleet.copies.Claims;
 import ochretiller.fleet.copies.Commit;
 import ochretiller.fleet.copies.CopyMessage;
-import ochretiller.fleet.copies.Entry;
 import ochretiller.fleet.copies.Keeper;
 import ochretiller.fleet.copies.Outcome;
 import ochretiller.fleet.copies.Pieces;
@@ -67,7 +66,6 @@
     private final Schedule schedule;
     private final CopySettings settings;
     private final String name;
-    private final Layout.Server server;
     private final Duration longest;
     private final RandomGenerator chance;
     private final BiConsumer<String, Object> send;
@@ -118,7 +116,6 @@
     private boolean silent;
     private boolean closed;
     private int conflictLines;
-    private final Set<String> toldOf = new HashSet<>();
     private boolean wasReturning;
     private boolean wasBehind;
     private boolean wasSick;
@@ -129,6 +126,7 @@
     private record Figures(long epoch, int behind, int entries, long bytes, long conflicts, double limit, int hints, double gap, long fetched, long sent, long compares,
                            long differed, int waiting, long unsaid, long hedged, long again, long oldDisks) {
     }
+
     private long epochNow;
 
     /**
@@ -136,12 +134,11 @@
      * @param send    sends to a server by its name
      * @param store   where entries are kept, not started yet; null where they are kept in memory
      */
-    Copies(Schedule schedule, CopySettings settings, String name, String zone, long start, Duration longest, RandomGenerator chance, Metrics metrics,
+    Copies(Schedule schedule, CopySettings settings, String name, long start, Duration longest, RandomGenerator chance, Metrics metrics,
            BiConsumer<String, Object> send, Supplier<List<Seen>> view, Store store) {
         this.schedule = schedule;
         this.settings = settings;
         this.name = name;
-        this.server = new Layout.Server(name, zone);
         this.longest = longest;
         this.start = start;
         this.chance = chance;
@@ -253,9 +250,13 @@
             keeper.there(live);
             conflicts();
             waits.publish();
+            figures(now);
         }
         if (disk != null) commit.tick(now).forEach(this::write);
         tell(now);
+    }
+
+    private void figures(Duration now) {
         figures = new Figures(epochNow, keeper.behind(), keeper.size(), keeper.bytes(), keeper.conflicts(), claims.limit(), keeper.hints(),
             keeper.oldestGap(now).toNanos() / 1e9, keeper.fetchedBytes(), keeper.sentBytes(), keeper.compares(), keeper.differed(), commit.waiting(), commit.unsaid(),
             claims.hedged(), claims.saidAgain(), keeper.oldDisks());
@@ -283,11 +284,9 @@
     }
 
     private void conflicts() {
-        if (keeper.conflicts() <= conflictLines || conflictLines >= CONFLICT_LINES) return;
-        for (Map.Entry<String, Entry> each : keeper.conflicting(CONFLICT_LINES).entrySet()) {
-            if (conflictLines >= CONFLICT_LINES || !toldOf.add(each.getKey())) continue;
-            conflictLines++;
-            LOG.severe(() -> "fleet: token " + each.getKey() + " has two ends, which must not be: " + each.getValue().outcomes().keySet() + "; it is answered with the first");
+        for (String token : keeper.conflicting()) {
+            if (++conflictLines > CONFLICT_LINES) return;
+            LOG.severe(() -> "fleet: token " + token + " has two ends, which must not be: " + keeper.entry(token).outcomes().keySet() + "; it is answered with the first");
         }
     }
 
@@ -419,7 +418,7 @@
             Duration now = schedule.now();
             if (known.kind() == Former.Kind.NEVER) {
                 settledNever.add();
-                claims.formerNeverRan(whether.token(), id, now.plus(longest), now);
+                claims.neverRan(whether.token(), id, now.plus(longest), now);
             } else if (known.kind() == Former.Kind.ENDED) {
                 settledEnds.add();
                 Outcome outcome = outcome(known.body(), known.result());
@@ -572,6 +571,8 @@
                 }
                 case REPLAY -> {
                     replayed.add();
+                    // Guards against a memory full of long results: those are fetched again.
+                    if (verdict.outcome().big()) break;
                     near.put(token, verdict.outcome());
                     // It may be known again by one window more than it should: a repeat behind its window is its caller's fault.
                     schedule.after(windowEnds.minus(schedule.now()).isNegative() ? Duration.ZERO : windowEnds.minus(schedule.now()), () -> near.remove(token));
--- a/src/main/java/ochretiller/fleet/peers/CopiesTold.java
+++ b/src/main/java/ochretiller/fleet/peers/CopiesTold.java
@@ -1,9 +1,7 @@
 package ochretiller.fleet.peers;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.io.StringWriter;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +13,6 @@
 
 /** What a server keeps for its fleet, as JSON, as the operators' commands read it. Made on the one thread. */
 final class CopiesTold {
-    private static final JsonFactory JSON = new JsonFactory();
     /** Tokens of a range that are listed: an answer has a bound. */
     private static final int MOST_TOKENS = 5_000;
 
@@ -25,26 +22,9 @@
         this.inside = inside;
     }
 
-    @FunctionalInterface
-    private interface Writes {
-        void to(JsonGenerator out) throws IOException;
-    }
-
-    private static String json(Writes writes) {
-        StringWriter out = new StringWriter(1024);
-        try (JsonGenerator to = JSON.createGenerator(out)) {
-            to.writeStartObject();
-            writes.to(to);
-            to.writeEndObject();
-        } catch (IOException e) {
-            throw new IllegalStateException(e); // a writer in memory does not fail
-        }
-        return out.toString();
-    }
-
     String status() {
         Keeper keeper = inside.keeper();
-        return json(to -> {
+        return JsonText.object(to -> {
             Layout layout = inside.layout();
             to.writeStringField("name", inside.name());
             to.writeNumberField("epoch", layout.epoch());
@@ -82,7 +62,7 @@
         Keeper keeper = inside.keeper();
         int range = Layout.range(token);
         Duration now = inside.now();
-        return json(to -> {
+        return JsonText.object(to -> {
             to.writeStringField("name", inside.name());
             to.writeNumberField("epoch", inside.layout().epoch());
             to.writeNumberField("range", range);
@@ -125,7 +105,7 @@
     String digests() {
         Keeper keeper = inside.keeper();
         Layout layout = inside.layout();
-        return json(to -> {
+        return JsonText.object(to -> {
             to.writeStringField("name", inside.name());
             to.writeNumberField("epoch", layout.epoch());
             to.writeObjectFieldStart("ranges");
@@ -151,7 +131,7 @@
             range = -1;
         }
         List<Keeper.Listed> tokens = keeper == null || range < 0 || range >= Layout.RANGES ? List.of() : keeper.list(range, MOST_TOKENS);
-        return json(to -> {
+        return JsonText.object(to -> {
             to.writeStringField("name", inside.name());
             to.writeArrayFieldStart("tokens");
             for (Keeper.Listed each : tokens) {
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -137,7 +137,7 @@
             to.writeNumber(m.order().ordinal());
             place(to, m.place());
             to.writeBinary(m.sketch() == null ? NONE : m.sketch().bytes());
-            marks(to, m.marks());
+            Codec.numbers(to, m.marks());
             layoutOrNone(to, m.layout());
         } else if (message instanceof CopyMessage.Page m) {
             to.writeNumber(m.epoch());
@@ -148,7 +148,7 @@
             to.writeBoolean(m.last());
             to.writeBoolean(m.whole());
             to.writeBoolean(m.told());
-            marks(to, m.rest());
+            Codec.numbers(to, m.rest());
             to.writeNumber(m.count());
             to.writeNumber(m.digest());
         } else if (message instanceof CopyMessage.Compare m) {
@@ -240,12 +240,6 @@
         return in.getBinaryValue();
     }
 
-    private static void marks(CBORGenerator to, List<Long> marks) throws IOException {
-        to.writeStartArray();
-        for (long each : marks) to.writeNumber(each);
-        to.writeEndArray();
-    }
-
     private static Sketch sketch(CBORParser in) throws IOException {
         byte[] bytes = binary(in);
         return bytes.length == 0 ? null : Sketch.of(bytes);
--- a/src/main/java/ochretiller/fleet/peers/Fleet.java
+++ b/src/main/java/ochretiller/fleet/peers/Fleet.java
@@ -85,7 +85,7 @@
         Member self = new Member(new MemberId(name, start), at, settings.zone(), build, settings.serves() == null ? serves : settings.serves(), 1,
             State.JOINING);
         members = new Members(self, settings.seeds(), settings.pace(), chance, schedule.now());
-        copies = settings.copies() == null ? null : new Copies(schedule, settings.copies(), name, settings.zone(), start, longest, chance, metrics,
+        copies = settings.copies() == null ? null : new Copies(schedule, settings.copies(), name, start, longest, chance, metrics,
             this::send, () -> members.view(), store);
         door = new Door(codec, name, words(leave));
         network.listen("fleet", settings.listen(), door::accepted);
--- a/src/main/java/ochretiller/fleet/peers/KeeperDisk.java
+++ b/src/main/java/ochretiller/fleet/peers/KeeperDisk.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -87,7 +86,7 @@
                     number[0] = Math.max(number[0], Codec.number(in));
                     if (key.length == PLACE.length && key[1] == PLACE[1]) {
                         place[0] = new Keeper.Disk(CopyCodec.layout(in), Map.of(), ranges(in), ranges(in), ranges(in), 0, true);
-                        with[0] = new Place(CopyCodec.heard(in), new ArrayList<>(Codec.numbers(in)));
+                        with[0] = new Place(CopyCodec.heard(in), Codec.numbers(in));
                         return;
                     }
                     Codec.start(in);
@@ -113,9 +112,7 @@
     }
 
     private static void ranges(CBORGenerator to, Set<Integer> ranges) throws IOException {
-        to.writeStartArray();
-        for (int each : ranges) to.writeNumber(each);
-        to.writeEndArray();
+        Codec.numbers(to, ranges.stream().map(Integer::longValue).toList());
     }
 
     private static byte[] key(byte space, String text) {
@@ -142,9 +139,7 @@
                 ranges(to, place.forgot());
                 ranges(to, place.lost());
                 CopyCodec.heard(to, with.heard());
-                to.writeStartArray();
-                for (long each : with.starts()) to.writeNumber(each);
-                to.writeEndArray();
+                Codec.numbers(to, with.starts());
             }), store.now() + longest.toMillis() - 1, false, ack -> then.accept(ack == Ack.DURABLE));
             return;
         }
@@ -185,7 +180,7 @@
 
     /** What a key of these spaces is about, for those who look at a store from outside; null for a key of another space. */
     public static String about(byte[] key) {
-        if (key.length < 2 || key[0] != ENTRIES && key[0] != RESULTS) return null;
+        if (key.length < PLACE.length || key[0] != ENTRIES && key[0] != RESULTS) return null;
         String text = new String(key, 1, key.length - 1, StandardCharsets.UTF_8);
         if (key[0] == RESULTS) return "a long result kept for the fleet: " + text;
         return key.length == PLACE.length && key[1] == PLACE[1] ? "this server's place in its fleet" : "kept for the fleet: " + text;
--- a/src/main/java/ochretiller/fleet/peers/Shelf.java
+++ b/src/main/java/ochretiller/fleet/peers/Shelf.java
@@ -77,8 +77,4 @@
             then.accept(result);
         });
     }
-
-    long bytes() {
-        return bytes;
-    }
 }
--- a/src/main/java/ochretiller/fleet/peers/Views.java
+++ b/src/main/java/ochretiller/fleet/peers/Views.java
@@ -1,24 +1,16 @@
 package ochretiller.fleet.peers;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.IOException;
-import java.io.StringWriter;
 import java.util.Locale;
 import ochretiller.fleet.members.Members;
 import ochretiller.fleet.members.Seen;
 
 /** A view as JSON, as the operators' commands read it. */
 final class Views {
-    private static final JsonFactory JSON = new JsonFactory();
-
     private Views() {
     }
 
     static String json(String fleet, Members members, PeerSocket socket) {
-        StringWriter out = new StringWriter(1024);
-        try (JsonGenerator to = JSON.createGenerator(out)) {
-            to.writeStartObject();
+        return JsonText.object(to -> {
             to.writeStringField("fleet", fleet);
             to.writeStringField("digest", Long.toHexString(members.digest()));
             to.writeNumberField("doubt", members.doubt());
@@ -46,10 +38,6 @@
                 to.writeEndObject();
             }
             to.writeEndArray();
-            to.writeEndObject();
-        } catch (IOException e) {
-            throw new IllegalStateException(e); // a writer in memory does not fail
-        }
-        return out.toString();
+        });
     }
 }
--- a/src/main/java/ochretiller/node/Host.java
+++ b/src/main/java/ochretiller/node/Host.java
@@ -227,7 +227,12 @@
     // ---- what the fleet knows of a token
 
     private static String body(Try inv) {
-        return inv.operation.name() + ' ' + HexFormat.of().formatHex(Keys.hash(inv.body));
+        return body(inv.operation.name(), Keys.hash(inv.body));
+    }
+
+    /** What was asked for, as the fleet's claims and ends name it. */
+    static String body(String operation, byte[] hash) {
+        return operation + ' ' + HexFormat.of().formatHex(hash);
     }
 
     private Duration due(Try inv) {
--- a/src/main/java/ochretiller/node/Recall.java
+++ b/src/main/java/ochretiller/node/Recall.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -310,7 +309,7 @@
         } else if (mark.state() == Mark.State.MARKED) {
             then.accept(Known.UNKNOWN);
         } else {
-            String body = mark.operation() + ' ' + HexFormat.of().formatHex(mark.body());
+            String body = Host.body(mark.operation(), mark.body());
             Duration ends = schedule.now().plus(left(mark));
             if (mark.state() == Mark.State.LOST) then.accept(new Known(Kind.ENDED, body, null, ends));
             else result(token, read -> then.accept(read == null ? Known.UNKNOWN : new Known(Kind.ENDED, body, read, ends)));
--- a/tools/src/main/java/ochretiller/tools/CopiesBench.java
+++ b/tools/src/main/java/ochretiller/tools/CopiesBench.java
@@ -85,8 +85,8 @@
     private record Sent(String from, Keeper.Out out) {
     }
 
-    /** Until nothing more is said and the asker has all; beats that it took. */
-    private int exchange(Map<String, Keeper> keepers, Keeper asker, int size) {
+    /** Until nothing more is said; the asker has to have all by then. */
+    private void exchange(Map<String, Keeper> keepers, Keeper asker, int size) {
         packets = 0;
         bytes = 0;
         Deque<Sent> underWay = new ArrayDeque<>();
@@ -111,7 +111,6 @@
             quiet = said == 0 ? quiet + 1 : 0;
         }
         if (asker.size() != size) throw new IllegalStateException("it has " + asker.size() + " of " + size);
-        return beats;
     }
 
     void run(boolean quick) throws Exception {
