One bounded map for five, one name of a script's file for two

Cause, from a reading of the whole change: the same anonymous map with a bound stood in five places, the beginning of both kinds of scripts' files in two. Change: ochretiller.bounds has the map, Json5 the name; ArchitectureTest holds the new package as ground that decides without files, clocks or threads.

--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetScriptFile.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetScriptFile.java
@@ -16,9 +16,7 @@
     }
 
     public static FleetScript read(Path file) {
-        String name = file.getFileName().toString();
-        int dot = name.indexOf('.');
-        return script(FILE.read(file, "the script"), dot < 0 ? name : name.substring(0, dot));
+        return script(FILE.read(file, "the script"), Json5.name(file));
     }
 
     public static FleetScript of(String text, String name) {
--- a/src/main/java/ochretiller/fleet/copies/Claims.java
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import ochretiller.bounds.Bounded;
 import ochretiller.fleet.epochs.Layout;
 
 /**
@@ -54,14 +55,7 @@
     private final Map<ClaimId, Attempt> attempts = new LinkedHashMap<>();
     private final Map<ClaimId, Ending> endings = new LinkedHashMap<>();
     private final Map<ClaimId, Running> running = new LinkedHashMap<>();
-    private final Map<ClaimId, Duration> releasedIds = new LinkedHashMap<>(16, 0.75f, false) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<ClaimId, Duration> eldest) {
-            return size() > REMEMBERED;
-        }
-    };
+    private final Map<ClaimId, Duration> releasedIds = Bounded.byAge(REMEMBERED);
     private final List<Keeper.Out> outs = new ArrayList<>();
     private Layout layout;
     private long runs;
--- a/src/main/java/ochretiller/fleet/peers/Copies.java
+++ b/src/main/java/ochretiller/fleet/peers/Copies.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +20,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import java.util.random.RandomGenerator;
+import ochretiller.bounds.Bounded;
 import ochretiller.fleet.copies.ClaimId;
 import ochretiller.fleet.copies.Claims;
 import ochretiller.fleet.copies.Commit;
@@ -81,14 +81,7 @@
     private final Keeper.Bounds bounds;
     private final VoterFile file;
     private final ExecutorService writer;
-    private final Map<String, Outcome> near = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Outcome> eldest) {
-            return size() > NEAR;
-        }
-    };
+    private final Map<String, Outcome> near = Bounded.byUse(NEAR);
     private final Metrics.Counter asked;
     private final Metrics.Counter granted;
     private final Metrics.Counter replayed;
--- a/src/main/java/ochretiller/fleet/peers/Fleet.java
+++ b/src/main/java/ochretiller/fleet/peers/Fleet.java
@@ -6,12 +6,12 @@
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.logging.Logger;
 import java.util.random.RandomGenerator;
+import ochretiller.bounds.Bounded;
 import ochretiller.fleet.members.Address;
 import ochretiller.fleet.members.Change;
 import ochretiller.fleet.members.Member;
@@ -45,14 +45,7 @@
     private final Door door;
     private final Copies copies;
     private final BiConsumer<Member, Boolean> seen;
-    private final Map<Address, InetSocketAddress> addresses = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Address, InetSocketAddress> eldest) {
-            return size() > ADDRESSES;
-        }
-    };
+    private final Map<Address, InetSocketAddress> addresses = Bounded.byUse(ADDRESSES);
     private final Map<State, Integer> sizes = new EnumMap<>(State.class);
     private volatile int[] sizesNow = new int[State.values().length];
     private volatile int doubtNow;
--- a/src/main/java/ochretiller/fleet/peers/PeerBudget.java
+++ b/src/main/java/ochretiller/fleet/peers/PeerBudget.java
@@ -1,8 +1,8 @@
 package ochretiller.fleet.peers;
 
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import ochretiller.bounds.Bounded;
 
 /**
  * How many packets and bytes each peer may send, counted by the address that they come from, before anything is opened: a flood
@@ -41,14 +41,7 @@
     }
 
     private final Bucket all;
-    private final Map<InetSocketAddress, Bucket> peers = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<InetSocketAddress, Bucket> eldest) {
-            return size() > PEERS;
-        }
-    };
+    private final Map<InetSocketAddress, Bucket> peers = Bounded.byUse(PEERS);
 
     PeerBudget(long now) {
         all = new Bucket(ALL_PACKETS, ALL_PACKETS * Codec.LONGEST, now);
--- a/src/main/java/ochretiller/fleet/peers/Window.java
+++ b/src/main/java/ochretiller/fleet/peers/Window.java
@@ -1,7 +1,7 @@
 package ochretiller.fleet.peers;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
+import ochretiller.bounds.Bounded;
 
 /** Which packets of each start were taken, so that none is taken twice: the last thousand of each, and the last starts. */
 final class Window {
@@ -39,14 +39,7 @@
         }
     }
 
-    private final Map<Long, Taken> starts = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Taken> eldest) {
-            return size() > STARTS;
-        }
-    };
+    private final Map<Long, Taken> starts = Bounded.byUse(STARTS);
 
     /** Whether it is taken now for the first time. */
     boolean take(long start, long sequence) {
--- a/src/main/java/ochretiller/json5/Json5.java
+++ b/src/main/java/ochretiller/json5/Json5.java
@@ -60,6 +60,13 @@
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
     }
 
+    /** A file's name without its ending. */
+    public static String name(Path file) {
+        String name = file.getFileName().toString();
+        int dot = name.indexOf('.');
+        return dot < 0 ? name : name.substring(0, dot);
+    }
+
     /**
      * The file's value.
      *
