Count no request as unanswered that its drill's callers failed to end themselves

Need: the run of all tests failed once on "answers: r3015 had no answer" in a short drill.

Cause: the drill's own callers, in three places. What was asked in the moment in which they ended came behind the look at what is still open, and its connection was closed upon it; connections that newer ones had replaced were not waited for at all; a request noted between the end of a connection's reader and its close was ended by nobody. r3015 was the last one asked.

Change: the asking thread is waited for first, all connections are waited for, and whoever comes behind a reader ends itself.

--- a/drill/src/main/java/ochretiller/drill/Load.java
+++ b/drill/src/main/java/ochretiller/drill/Load.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import ochretiller.standin.Daemon;
 import ochretiller.standin.Gateways;
 import ochretiller.standin.Wire;
@@ -31,6 +33,9 @@
     private final AtomicLong numbers = new AtomicLong();
     private final Map<Integer, Line> lines = new ConcurrentHashMap<>();
     private final List<String> asked = new ArrayList<>();
+    /** All that are not gone, those too on which nothing more is asked. */
+    private final Set<Line> all = ConcurrentHashMap.newKeySet();
+    private final Thread asking = new Thread(this::askOn, "load");
     private volatile boolean over;
 
     Load(History history, List<Box> boxes, double perSecond, long seed, boolean elsewhere) {
@@ -43,15 +48,17 @@
 
     void start() {
         if (perSecond <= 0) return;
-        Daemon.start(() -> {
-            long next = System.nanoTime();
-            while (!over) {
-                next += (long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9);
-                long wait = next - System.nanoTime();
-                if (wait > 0) Thread.sleep(wait / 1_000_000, (int) (wait % 1_000_000));
-                ask();
-            }
-        });
+        asking.setDaemon(true);
+        asking.start();
+    }
+
+    private void askOn() {
+        long next = System.nanoTime();
+        while (!over) {
+            next += (long) (-Math.log(1 - chance.nextDouble()) / perSecond * 1e9);
+            for (long wait = next - System.nanoTime(); wait > 0 && !over; wait = next - System.nanoTime()) LockSupport.parkNanos(wait);
+            if (!over) ask();
+        }
     }
 
     private void ask() {
@@ -95,8 +102,10 @@
     /** No more is asked; what is open gets its end. */
     void end() throws InterruptedException {
         over = true;
-        for (int i = 0; i < 500 && lines.values().stream().anyMatch(line -> !line.gone && !line.open.isEmpty()); i++) Thread.sleep(10);
-        for (Line line : lines.values()) line.close();
+        // What is asked in this very moment would else come behind the look at what is open, and its connection be closed upon it.
+        asking.join();
+        for (int i = 0; i < 500 && all.stream().anyMatch(line -> !line.open.isEmpty()); i++) Thread.sleep(10);
+        for (Line line : all) line.close();
     }
 
     /** One connection and what is open on it. */
@@ -110,6 +119,7 @@
         Line(int port) throws IOException {
             Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
             wire = new Wire(socket);
+            all.add(this);
             Daemon.start(this::read);
         }
 
@@ -123,6 +133,8 @@
             } catch (IOException e) {
                 end(number, "broken");
             }
+            // Its reader may have ended all that was open just before this was: then nobody else does.
+            if (gone) end(number, "broken");
         }
 
         private void end(long number, String how) {
@@ -146,6 +158,7 @@
             gone = true;
             // What is left when the callers end had its time and no answer; a connection that breaks ends what was on it.
             for (long number : List.copyOf(open.keySet())) end(number, closed ? "none" : "broken");
+            all.remove(this);
             try {
                 wire.close();
             } catch (IOException e) {
