--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
@@ -54,6 +55,8 @@
     volatile boolean leaves;
     /** What becomes of the end of a run that was begun: by default it comes at once. */
     volatile Consumer<Runnable> ends = Runnable::run;
+    /** How its next process claims, as the operators' file says it. */
+    volatile String mode = "fleet";
     /** Characters on top of each result. */
     volatile int more;
 
@@ -61,7 +64,10 @@
         this.slot = slot;
         this.folder = Files.createDirectories(folder.resolve("server-" + slot.number()));
         this.history = history;
-        Files.deleteIfExists(this.folder.resolve("voter")); // of another run
+        // Of another run.
+        Files.deleteIfExists(this.folder.resolve("voter"));
+        Files.deleteIfExists(this.folder.resolve("peers"));
+        diskIs(null);
         Disks.delete(store());
         Disks.delete(image());
         this.serves = freePort();
@@ -105,6 +111,21 @@
         }
     }
 
+    private Path fault() {
+        return folder.resolve("disk-fault");
+    }
+
+    /** Its disk takes nothing any more ({@code full}), or waits ({@code stall}); null makes it well. */
+    void diskIs(String what) throws IOException {
+        if (what == null) {
+            Files.deleteIfExists(fault());
+            return;
+        }
+        Path half = folder.resolve("disk-fault.tmp");
+        Files.writeString(half, what);
+        Files.move(half, fault(), StandardCopyOption.ATOMIC_MOVE);
+    }
+
     /** What happens from here on is noted there. */
     void become(History next) {
         history = next;
@@ -146,9 +167,9 @@
         List<String> told = new ArrayList<>();
         for (int port : seeds) told.add("'127.0.0.1:" + port + "'");
         Files.writeString(operator, "{ metrics: { file: '" + folder.resolve("metrics.prom") + "', every_ms: 1000 }," + (stores ? "remember: { folder: '" + store() + "' }," : "") + (on ? """
-            fleet: { name: 'drill', listen: '127.0.0.1:%d', advertise: '127.0.0.1:%d', key_file: '%s', seeds: [%s], zone: 'z%d', probe_ms: %d%s }
-            """.formatted(listen, advertise, key, String.join(",", told), slot.zone(), probeMs, copies(voters)) : "")
-            + (clockS == 0 ? "" : ", drill: { clock_ms: " + (long) (-clockS * 1000) + " }") + "}");
+            fleet: { name: 'drill', listen: '127.0.0.1:%d', advertise: '127.0.0.1:%d', key_file: '%s', peers_file: '%s', seeds: [%s], zone: 'z%d', probe_ms: %d%s }
+            """.formatted(listen, advertise, key, folder.resolve("peers"), String.join(",", told), slot.zone(), probeMs, copies(voters)) : "")
+            + ", drill: { clock_ms: " + (long) (-clockS * 1000) + ", disk_fault: '" + fault() + "' } }");
         ProcessBuilder builder = new ProcessBuilder("sh", "deploy/serve.sh").redirectErrorStream(true);
         builder.directory(ROOT.toFile()).environment().put("OCHRETILLER_DRILL", "1");
         builder.environment().put("EDGE_CONFIG", config.toString());
@@ -184,7 +205,7 @@
         if (voters == 0) return "";
         List<String> names = new ArrayList<>();
         for (int i = 1; i <= voters; i++) names.add("'m" + i + "'");
-        return ", copies: { voters: [" + String.join(",", names) + "], voter_file: '" + folder.resolve("voter") + "', calm_ms: 1500 }";
+        return ", copies: { voters: [" + String.join(",", names) + "], voter_file: '" + folder.resolve("voter") + "', calm_ms: 1500, mode: '" + mode + "' }";
     }
 
     /** Whether it has logged a line with this in it, within a bounded time. */
--- a/drill/src/main/java/ochretiller/drill/Cost.java
+++ b/drill/src/main/java/ochretiller/drill/Cost.java
@@ -10,6 +10,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -30,12 +33,14 @@
     private final int members;
     private final int callers;
     private final int seconds;
+    private final boolean links;
     private final Consumer<String> progress;
 
-    Cost(int members, int callers, int seconds, Consumer<String> progress) {
+    Cost(int members, int callers, int seconds, boolean links, Consumer<String> progress) {
         this.members = members;
         this.callers = callers;
         this.seconds = seconds;
+        this.links = links;
         this.progress = progress;
     }
 
@@ -63,9 +68,10 @@
         Times keyed = new Times();
         Times reads = new Times();
         Times bare = new Times();
+        Times handed = new Times();
         AtomicLong refused = new AtomicLong();
         try (Stage stage = new Stage(script, 1, folder, true, copies, progress)) {
-            stage.raise((slot, body) -> { });
+            (links ? stage : stage.direct()).raise((slot, body) -> { });
             AtomicInteger numbers = new AtomicInteger();
             long begins = System.nanoTime() + WARM_S * 1_000_000_000L;
             long ends = begins + seconds * 1_000_000_000L;
@@ -93,7 +99,8 @@
                     }
                 }));
             }
-            threads.add(thread(() -> echo(bare, begins, ends)));
+            threads.add(thread(() -> echo(bare, begins, ends, false)));
+            threads.add(thread(() -> echo(handed, begins, ends, true)));
             for (Thread thread : threads) thread.join((WARM_S + seconds + 15) * 1000L);
             Thread.sleep(1_500); // figures are written each second
             double forces = 0;
@@ -107,14 +114,14 @@
                 p50 += figure(file, "fleet_claim_p50_seconds") * 1e3 / members;
                 p99 = Math.max(p99, figure(file, "fleet_claim_p99_seconds") * 1e3);
             }
-            return String.format(Locale.ROOT, "%d,%s,%d,%.0f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.3f,%.3f,%.1f,%d", members, !copies ? "none" : store ? "disk" : "memory", callers,
-                keyed.count() / (double) seconds, keyed.ms(50), keyed.ms(99), keyed.ms(99.9), reads.ms(50), reads.ms(99), p50, p99, bare.ms(50), bare.ms(99),
+            return String.format(Locale.ROOT, "%d,%s,%d,%.0f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.3f,%.3f,%.3f,%.3f,%.1f,%d", members, !copies ? "none" : store ? "disk" : "memory", callers,
+                keyed.count() / (double) seconds, keyed.ms(50), keyed.ms(99), keyed.ms(99.9), reads.ms(50), reads.ms(99), p50, p99, bare.ms(50), bare.ms(99), handed.ms(50), handed.ms(99),
                 forces == 0 ? 0 : records / forces, refused.get());
         }
     }
 
     static final String HEAD = "servers,copies,callers,keyed a second,keyed p50 ms,keyed p99 ms,keyed p99.9 ms,idempotent p50 ms,idempotent p99 ms,"
-        + "claim p50 ms (mean of servers),claim p99 ms (worst server),bare round trip p50 ms,bare p99 ms,records a force,refused";
+        + "claim p50 ms (mean of servers),claim p99 ms (worst server),bare round trip p50 ms,bare p99 ms,handed over p50 ms,handed over p99 ms,records a force,refused";
 
     private interface Work {
         void run() throws Exception;
@@ -133,22 +140,41 @@
         return thread;
     }
 
-    private static void echo(Times bare, long begins, long ends) throws IOException, InterruptedException {
+    /**
+     * Round trips of as many bytes as a claim has, beside the load.
+     *
+     * @param handsOver whether each end hands what it has read to another thread, as a server's reader does to its loop
+     */
+    private static void echo(Times times, long begins, long ends, boolean handsOver) throws IOException, InterruptedException {
         try (DatagramSocket one = new DatagramSocket(0, InetAddress.getLoopbackAddress()); DatagramSocket two = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            one.setSoTimeout(1_000);
+            BlockingQueue<DatagramPacket> there = new LinkedBlockingQueue<>();
+            BlockingQueue<DatagramPacket> back = new LinkedBlockingQueue<>();
             Daemon.start(() -> {
-                DatagramPacket packet = new DatagramPacket(new byte[PACKET], PACKET);
                 while (!two.isClosed()) {
+                    DatagramPacket packet = new DatagramPacket(new byte[PACKET], PACKET);
                     two.receive(packet);
-                    two.send(packet);
+                    if (handsOver) there.add(packet);
+                    else two.send(packet);
+                }
+            });
+            if (handsOver) Daemon.start(() -> {
+                while (!two.isClosed()) two.send(there.take());
+            });
+            one.setSoTimeout(1_000);
+            if (handsOver) Daemon.start(() -> {
+                while (!one.isClosed()) {
+                    DatagramPacket packet = new DatagramPacket(new byte[PACKET], PACKET);
+                    one.receive(packet);
+                    back.add(packet);
                 }
             });
             DatagramPacket packet = new DatagramPacket(new byte[PACKET], PACKET, InetAddress.getLoopbackAddress(), two.getLocalPort());
             while (System.nanoTime() < ends) {
                 long at = System.nanoTime();
                 one.send(packet);
-                one.receive(new DatagramPacket(new byte[PACKET], PACKET));
-                if (at > begins) bare.add(System.nanoTime() - at);
+                if (handsOver) back.poll(1, TimeUnit.SECONDS);
+                else one.receive(new DatagramPacket(new byte[PACKET], PACKET));
+                if (at > begins) times.add(System.nanoTime() - at);
                 Thread.sleep(5);
             }
         }
--- a/drill/src/main/java/ochretiller/drill/Drill.java
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -88,12 +88,14 @@
 
     @Command(name = "cost", mixinStandardHelpOptions = true, description = "What copies cost keyed and idempotent invocations, beside servers without them.")
     int cost(@Option(names = "--members", defaultValue = "3,8", split = ",") List<Integer> members, @Option(names = "--callers", defaultValue = "4", description = "For each server.") int callers,
-             @Option(names = "--seconds", defaultValue = "8") int seconds, @Option(names = "--out", description = "A file for the table.") Path out) throws Exception {
+             @Option(names = "--seconds", defaultValue = "8") int seconds,
+             @Option(names = "--links", description = "With the drill's links between the servers, as drills have them.") boolean links,
+             @Option(names = "--out", description = "A file for the table.") Path out) throws Exception {
         List<String> rows = new ArrayList<>(List.of(Cost.HEAD));
         System.out.println(Cost.HEAD);
         for (int size : members) {
             for (int kind = 0; kind < 3; kind++) {
-                Cost cost = new Cost(size, callers * size, seconds, System.err::println);
+                Cost cost = new Cost(size, callers * size, seconds, links, System.err::println);
                 String row = cost.row(Files.createTempDirectory("cost"), kind > 0, kind == 2);
                 System.out.println(row);
                 rows.add(row);
--- a/drill/src/main/java/ochretiller/drill/Links.java
+++ b/drill/src/main/java/ochretiller/drill/Links.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.DoubleSupplier;
@@ -37,6 +38,8 @@
     private final PriorityQueue<Late> late = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
     private final Map<Integer, Integer> slots = new ConcurrentHashMap<>();
     private final List<byte[]> kept = new ArrayList<>();
+    /** Servers that are cut off from all others, beside what the script says. */
+    private volatile Set<Integer> apart = Set.of();
     final AtomicLong passed = new AtomicLong();
     final AtomicLong dropped = new AtomicLong();
 
@@ -79,6 +82,11 @@
         slots.put(address, slot);
     }
 
+    /** From now on these are apart from all others. */
+    void cut(Set<Integer> these) {
+        apart = Set.copyOf(these);
+    }
+
     void start() {
         Thread thread = new Thread(this::work, "links");
         thread.setDaemon(true);
@@ -116,7 +124,9 @@
             kept.add(bytes);
         }
         int fromSlot = sender == null ? 0 : slots.getOrDefault(sender, 0);
-        List<Faults.Copy> fate = faults.fate(fromSlot, slots.getOrDefault(relay.address, 0), now.getAsDouble());
+        int toSlot = slots.getOrDefault(relay.address, 0);
+        boolean cut = apart.contains(fromSlot) != apart.contains(toSlot);
+        List<Faults.Copy> fate = cut ? List.of() : faults.fate(fromSlot, toSlot, now.getAsDouble());
         if (fate.isEmpty()) dropped.incrementAndGet();
         for (Faults.Copy copy : fate) {
             byte[] sent = bytes;
--- a/drill/src/main/java/ochretiller/drill/Stage.java
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -60,6 +60,8 @@
     private final long seed;
     private History history;
     private volatile boolean over;
+    /** Whether servers are told one another's own addresses, and nothing lies between them. */
+    private boolean direct;
 
     /**
      * A stage with nobody on it yet.
@@ -125,6 +127,12 @@
         return history;
     }
 
+    /** Servers speak to one another without links between: for measurements of what they do themselves. */
+    Stage direct() {
+        direct = true;
+        return this;
+    }
+
     /** Starts all servers of the script, and tells of each run that is begun; nothing else is played. */
     void raise(BiConsumer<Integer, String> ran) throws IOException, InterruptedException {
         for (Plan.Slot slot : plan.slots()) box(slot, ran);
@@ -134,6 +142,11 @@
         if (copiesOn) awaitKeepers();
     }
 
+    /** From now on these are cut off from all others. */
+    void cut(Set<Integer> these) {
+        links.cut(these);
+    }
+
     Box box(int number) {
         return boxes.get(number);
     }
@@ -196,6 +209,11 @@
         return fresh;
     }
 
+    /** Where others are told that an address is. */
+    private int told(int address) {
+        return direct ? real.get(address) : relayed.get(address);
+    }
+
     private final Map<Integer, Integer> addressOf = new HashMap<>();
 
     private void start(Plan.Action action) throws IOException, InterruptedException {
@@ -207,9 +225,9 @@
         List<Integer> seeds = new ArrayList<>();
         for (int i = 1; i <= script.seeds(); i++) {
             real(i);
-            seeds.add(relayed.get(i));
+            seeds.add(told(i));
         }
-        box.start(listen, relayed.get(action.address()), seeds, script.probeMs(), viewOn,
+        box.start(listen, told(action.address()), seeds, script.probeMs(), viewOn,
             clock(action), copiesOn ? Math.min(3, script.members()) : 0, stores);
     }
 
@@ -251,6 +269,11 @@
 
     /** All copies are compared at all servers' doors, until they are the same or the bound has come; how they are is noted. */
     private void compare() throws InterruptedException {
+        compared().forEach((slot, digests) -> history.add(History.What.COPIES, slot, boxes.get(slot).start, digests == null ? "none" : digests.get("ranges").toString()));
+    }
+
+    /** What each server keeps, by range, once all have compared all of it; whether or not it has become the same. */
+    Map<Integer, JsonNode> compared() throws InterruptedException {
         double bound = history.now() + COPIES_S;
         Map<Integer, JsonNode> told = new TreeMap<>();
         for (Box box : boxes.values()) if (box.up) door(box, "copies-repair");
@@ -260,13 +283,18 @@
             if (!told.containsValue(null) && same(told.values())) break;
             Thread.sleep(COMPARE_MS);
         }
-        told.forEach((slot, digests) -> history.add(History.What.COPIES, slot, boxes.get(slot).start, digests == null ? "none" : digests.get("ranges").toString()));
+        return told;
+    }
+
+    /** What a server tells operators; null where it does not. */
+    JsonNode door(Box box, String word) {
+        return door(box, word, "");
     }
 
-    private JsonNode door(Box box, String word) {
+    JsonNode door(Box box, String word, String with) {
         Integer address = addressOf.get(box.slot.number());
         try (FleetClient client = new FleetClient(new InetSocketAddress(InetAddress.getLoopbackAddress(), real.get(address)), "drill", Watch.KEYS)) {
-            return JSON.readTree(client.ask(word));
+            return JSON.readTree(client.ask(word, with));
         } catch (IOException e) {
             progress.accept("server " + box.slot.number() + " cannot be asked: " + e.getMessage());
             return null;
@@ -298,6 +326,13 @@
                 until(fault.untilS());
                 mine.forEach(Process::destroyForcibly);
             });
+        } else if (fault.what() == Plan.Link.FULL || fault.what() == Plan.Link.STALL) {
+            Daemon.start(() -> {
+                until(fault.atS());
+                for (int slot : fault.to()) boxes.get(slot).diskIs(fault.what().name().toLowerCase(Locale.ROOT));
+                until(fault.untilS());
+                for (int slot : fault.to()) boxes.get(slot).diskIs(null);
+            });
         } else if (fault.what() == Plan.Link.FLOOD) {
             for (int slot : fault.to()) {
                 Daemon.start(() -> flood(fault, slot));
--- a/drill/src/main/java/ochretiller/drill/Steps.java
+++ b/drill/src/main/java/ochretiller/drill/Steps.java
@@ -1,5 +1,6 @@
 package ochretiller.drill;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -62,6 +64,9 @@
         twoAtOnce(false);
         twoAtOnce(true);
         longResult();
+        windowEndsInACut();
+        serverMode();
+        diskFillsAsItRuns();
         allKilledBehindTheAnswer();
         return broken;
     }
@@ -192,6 +197,82 @@
         need(token, runs(token) == 1, "runs: " + runs(token));
     }
 
+    /** What is past its window when a cut heals is not brought back to life by the side that heard of it last. */
+    private void windowEndsInACut() throws Exception {
+        String token = token("window ends in a cut");
+        String first = until(1, token, token, how -> how.startsWith("succeeded"));
+        for (int slot : new int[] {1, 2, 3}) need(token, keeps(slot, token, true), "not kept at " + slot);
+        stage.cut(Set.of(3));
+        for (int slot : new int[] {1, 2, 3}) need(token, keeps(slot, token, false), "kept past its window at " + slot);
+        stage.cut(Set.of());
+        stage.compared();
+        for (int slot : new int[] {1, 2, 3}) need(token, !keeps(slot, token), "back to life at " + slot);
+        need(token, runs(token) == 1, "runs: " + runs(token));
+    }
+
+    /** Within a bounded time: whether a server keeps something of the token, or no longer does. */
+    private boolean keeps(int slot, String token, boolean wanted) throws Exception {
+        for (long until = System.nanoTime() + WITHIN_S * 1_000_000_000L; System.nanoTime() < until; Thread.sleep(AGAIN_MS)) {
+            if (keeps(slot, token) == wanted) return true;
+        }
+        return false;
+    }
+
+    private boolean keeps(int slot, String token) {
+        JsonNode told = stage.door(stage.box(slot), "copies-show", token);
+        if (told == null) broken.add(token + ": server " + slot + " did not tell what it keeps");
+        return told != null && told.path("claims").size() + told.path("ends").size() > 0;
+    }
+
+    /** One server is to claim no more, and others still do: tokens of the fleet stay the fleet's there, and nothing runs unclaimed. */
+    private void serverMode() throws Exception {
+        String before = token("server mode, a token of the fleet");
+        String first = until(1, before, before, how -> how.startsWith("succeeded"));
+        String open = token("server mode, a run under way");
+        begunAt(1, open);
+        Runnable ends = end;
+        stage.box(3).kill();
+        stage.box(3).mode = "server";
+        restart(3);
+        same(before, first, 3);
+        String how = answer(ask(3, open, open));
+        need(open, how.equals("errored"), "the repeat at the server that claims no more: " + how);
+        ends.run();
+        until(3, open, open, each -> each.startsWith("succeeded"));
+        need(open, runs(open) == 1, "runs: " + runs(open));
+        need(before, runs(before) == 1, "runs: " + runs(before));
+        String own = token("server mode, a new token");
+        String here = until(3, own, own, each -> each.startsWith("succeeded"));
+        same(own, here, 3);
+        same(own, here, 1);
+        need(own, runs(own) == 1, "runs: " + runs(own));
+        String unsure = token("server mode, keepers that do not answer");
+        stage.cut(Set.of(3));
+        String apart = answer(ask(3, unsure, unsure));
+        need(unsure, apart.equals("throttled") && runs(unsure) == 0, "cut off from the keepers: " + apart);
+        stage.cut(Set.of());
+        stage.box(3).kill();
+        stage.box(3).mode = "fleet";
+        restart(3);
+        until(3, token("server mode, over"), "over", each -> each.startsWith("succeeded"));
+    }
+
+    /** A keeper's disk is full: the other two are a majority, and what the full one has said before is true behind it. */
+    private void diskFillsAsItRuns() throws Exception {
+        String token = token("a keeper's disk is full");
+        begunAt(1, token);
+        Runnable ends = end;
+        stage.box(2).diskIs("full");
+        ends.run();
+        String second = until(3, token, token, how -> how.startsWith("succeeded"));
+        need(token, second.startsWith("succeeded"), "while it is full: " + second);
+        stage.box(2).diskIs("stall");
+        same(token, second, 3);
+        stage.box(2).diskIs(null);
+        same(token, second, 2);
+        need(token, runs(token) == 1, "runs: " + runs(token));
+    }
+
     private void allKilledBehindTheAnswer() throws Exception {
         String token = token("all killed");
         String first = until(1, token, token, how -> how.startsWith("succeeded"));
--- a/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
+++ b/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import ochretiller.emulator.fleet.CopiesMeasure;
 import ochretiller.emulator.fleet.CopiesWorld;
 import ochretiller.emulator.fleet.Drawn;
 import ochretiller.emulator.fleet.ClaimsModel;
@@ -102,11 +103,13 @@
                @Option(names = "--tokens", defaultValue = "150") int tokens,
                @Option(names = "--old-disks", defaultValue = "0.3", description = "Share of starts in every other schedule that find an old image of their disk.") double oldDisks,
                @Option(names = "--trace", paramLabel = "TOKEN", description = "Print all that is said of this token; with one seed.") String trace,
+               @Option(names = "--switch", paramLabel = "SECONDS", description = "From then on the servers claim no more, one after the other.") Double switchS,
                @Option(names = "--server-mode", description = "Each server for itself, as without a fleet.") boolean alone) throws Exception {
         List<Callable<CopiesWorld.Outcomes>> runs = new ArrayList<>();
         for (int i = 0; i < seeds; i++) {
             long each = seed + i;
-            runs.add(() -> new CopiesWorld(Drawn.copies(each), each, each % 3 * 0.4, each / 3 % 2 * oldDisks, each % 4 == 0, !alone).trace(trace).play(tokens, 25));
+            runs.add(() -> new CopiesWorld(Drawn.copies(each), each, each % 3 * 0.4, each / 3 % 2 * oldDisks, each % 4 == 0, !alone).trace(trace)
+                .switching(switchS == null ? Double.NEGATIVE_INFINITY : switchS, each % 5 * 0.5).play(tokens, 25));
         }
         CopiesWorld.Outcomes all = new CopiesWorld.Outcomes();
         int broken = 0;
@@ -123,6 +126,7 @@
             all.runs += one.runs;
             all.conflicts += one.conflicts;
             all.oldFound += one.oldFound;
+            all.unclaimed += one.unclaimed;
             all.excused += one.excused;
             all.oldPutBack += one.oldPutBack;
             all.unsaid += one.unsaid;
@@ -135,8 +139,8 @@
             number++;
         }
         System.out.printf(Locale.ROOT, "%d schedules, %d broken: tries %d, succeeded %d (%d of them replays), throttled %d, errored %d, other body %d, "
-            + "unanswered %d; runs %d, conflicts %d, epochs up to %d, claim to majority p50 %.1f p99 %.1f ms; old disks put back %d, servers that found one %d, words unsaid %d; second runs where a majority lost its disks %d%n", seeds, broken, all.tries, all.succeeded,
-            all.replayed, all.throttled, all.errored, all.otherBody, all.unanswered, all.runs, all.conflicts, all.epochs, all.claimMs(50), all.claimMs(99), all.oldPutBack, all.oldFound, all.unsaid, all.excused);
+            + "unanswered %d; runs %d, conflicts %d, epochs up to %d, claim to majority p50 %.1f p99 %.1f ms; old disks put back %d, servers that found one %d, words unsaid %d; second runs where a majority lost its disks %d, runs without a claim %d%n", seeds, broken, all.tries, all.succeeded,
+            all.replayed, all.throttled, all.errored, all.otherBody, all.unanswered, all.runs, all.conflicts, all.epochs, all.claimMs(50), all.claimMs(99), all.oldPutBack, all.oldFound, all.unsaid, all.excused, all.unclaimed);
         return broken == 0 ? 0 : MISSED;
     }
 
@@ -149,6 +153,13 @@
         return 0;
     }
 
+    @Command(name = "copies-sizes", mixinStandardHelpOptions = true,
+        description = "What copies cost by the size of the fleet, and a third that comes back without its disks; a table and a chart in a folder.")
+    int copiesSizes(@Option(names = "--out", required = true) Path out, @Option(names = "--sizes", split = ",", defaultValue = "10,30,100,300,1000") List<Integer> sizes) throws Exception {
+        new CopiesMeasure(out).write(sizes, System.out::println);
+        return 0;
+    }
+
     @Command(name = "explore", mixinStandardHelpOptions = true,
         description = "Explore all orders of delivery, loss, passing time and crash in a fleet of a few, depth by depth.")
     int explore(@Option(names = "--members", defaultValue = "3") int members, @Option(names = "--depth", defaultValue = "20") int depth,
--- a/emulator/src/main/java/ochretiller/emulator/fleet/ClaimsModel.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/ClaimsModel.java
@@ -66,7 +66,7 @@
             servers[i] = new Claims("s" + i, 1, FIRST, new Fixed());
             running.add(null);
             verdicts.add("");
-            servers[i].claim(TOKEN, "body", DUE, WINDOW, Duration.ZERO, verdict -> told(server, verdict));
+            servers[i].claim(TOKEN, "body", false, DUE, WINDOW, Duration.ZERO, verdict -> told(server, verdict));
             take(i);
         }
     }
--- a/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/CopiesWorld.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import ochretiller.emulator.core.Events;
 import ochretiller.emulator.core.Seeds;
 import ochretiller.fleet.copies.Claims;
@@ -20,13 +22,21 @@
 import ochretiller.fleet.copies.CopyMessage;
 import ochretiller.fleet.copies.Entry;
 import ochretiller.fleet.copies.Keeper;
+import ochretiller.fleet.copies.Modes;
 import ochretiller.fleet.copies.Outcome;
 import ochretiller.fleet.copies.Pieces;
 import ochretiller.fleet.copies.Verdict;
+import ochretiller.fleet.epochs.Ballot;
 import ochretiller.fleet.epochs.EpochMessage;
 import ochretiller.fleet.epochs.Layout;
 import ochretiller.fleet.epochs.Voter;
 import ochretiller.fleet.epochs.Wish;
+import ochretiller.fleet.members.Address;
+import ochretiller.fleet.members.Member;
+import ochretiller.fleet.members.MemberId;
+import ochretiller.fleet.members.State;
+import ochretiller.fleet.peers.Codec;
+import ochretiller.fleet.peers.FleetKeys;
 
 /**
  * A fleet that keeps claims and results for one another, in virtual time: voters, keepers and the way of keyed invocations are
@@ -34,10 +44,14 @@
  */
 public final class CopiesWorld {
     private static final int FACTOR = 3;
+    private static final String OPERATION = "order";
+    private static final Modes.Told SERVERS = new Modes.Told(Modes.Mode.SERVER, Map.of());
     private static final int VOTERS = 3;
     private static final int MOST = 100_000;
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration SPEAKS = Duration.ofMillis(500);
+    /** Servers that each voter tells of the epoch each time. */
+    private static final int TELLS = 4;
     private static final Duration CALM = Duration.ofSeconds(2);
     /** A token's window, the longest that there is, and the due time of a try. */
     private static final Duration WINDOW = Duration.ofSeconds(20);
@@ -55,6 +69,8 @@
     private static final int IMAGES = 4;
     /** Every so many tokens have a result that goes by pieces. */
     private static final int LONG_RESULTS = 8;
+    /** Behind a change of mode: all have come to run without claims by then, and go on. */
+    private static final double SWITCHES_S = 75;
     private static final Keeper.Bounds BOUNDS = new Keeper.Bounds(MOST, Long.MAX_VALUE, 2 << 20, WINDOW.plusSeconds(10));
 
     private final FleetScript script;
@@ -86,6 +102,8 @@
         public long messages;
         public int conflicts;
         public int oldFound;
+        /** Runs without a claim. */
+        public int unclaimed;
         /** Second runs of tokens whose keepers, a majority of them, had lost their disks. */
         public int excused;
         public int oldPutBack;
@@ -108,10 +126,16 @@
         /** Who kept it as it ran, as the server that ran it knew. */
         final List<List<String>> keptBy = new ArrayList<>();
         final Set<String> results = new HashSet<>();
+        /** Whether its first run within the window had a claim of a server that claims for good. */
+        boolean claimed;
 
         Token(String body) {
             this.body = body;
         }
+
+        void claimed(boolean forGood, double now) {
+            if (ranAt.isEmpty() || now - ranAt.get(ranAt.size() - 1) >= WINDOW.toSeconds()) claimed = forGood;
+        }
     }
 
     private record Sent(String from, Object message) {
@@ -164,6 +188,7 @@
         long attempted;
         final Deque<Sent> waits = new ArrayDeque<>();
         final Map<String, String> local = new HashMap<>();
+        Modes modes;
 
         Host(int number) {
             this.number = number;
@@ -171,6 +196,11 @@
             this.server = new Layout.Server(name, "z" + script.zone(number));
         }
 
+        /** Whether it claims no more: the servers are told so one after the other. */
+        boolean switched() {
+            return switchS >= 0 && played() >= switchS + number * switchEachS;
+        }
+
         void start(boolean keepsDisk) {
             up = true;
             paused = false;
@@ -178,8 +208,13 @@
             life++;
             waits.clear();
             local.clear();
+            modes = new Modes(switched() ? SERVERS : Modes.Told.FLEET, BOUNDS.longest(), events.now());
             boolean first = !everUp;
             everUp = true;
+            if (first && formed != null) {
+                disk = new Image(new Keeper.Disk(formed, Map.of()), Map.of(), new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
+                voterDisk = new Voter.Promised(formed, Ballot.NONE, Ballot.NONE, null, 0);
+            }
             if (!keepsDisk) {
                 lostS.add(events.seconds());
                 disk = Image.none();
@@ -194,7 +229,7 @@
             if (number <= VOTERS) {
                 Set<String> names = new HashSet<>();
                 for (int i = 1; i <= Math.min(VOTERS, script.members()); i++) names.add("m" + i);
-                voter = new Voter(name, names, voterDisk, FACTOR, first, chance.nextLong());
+                voter = new Voter(name, names, voterDisk, FACTOR, first && formed == null, chance.nextLong());
             }
             Keeper.Disk found = disk.disk(events.now());
             Layout known = found != null ? found.layout() : voter != null ? voter.agreed() : Layout.none(FACTOR);
@@ -333,15 +368,24 @@
         private void speak(long mine) {
             if (!up || life != mine) return;
             if (!paused && voter != null && !voter.blank() && voter.agreed().epoch() > 0) {
-                for (Host each : hosts.values()) if (each != this) send(each.number, new EpochMessage.Agreed(voter.agreed()));
-            }
-            if (!paused && keeper != null) {
-                EpochMessage.Standing standing = new EpochMessage.Standing(keeper.layout().epoch(), keeper.returning() ? Layout.RANGES : keeper.behind());
-                for (int i = 1; i <= Math.min(VOTERS, script.members()); i++) send(i, standing);
+                for (int i = 0; i < TELLS; i++) {
+                    int to = 1 + chance.nextInt(hosts.size());
+                    if (to != number) send(to, new EpochMessage.Agreed(voter.agreed()));
+                }
             }
+            if (!paused) stand();
             events.after(SPEAKS, () -> speak(mine));
         }
 
+        private void stand() {
+            boolean keeps = keeper != null && own.layout().has(name);
+            int behind = !keeps ? 0 : keeper.returning() ? Layout.RANGES : keeper.behind();
+            EpochMessage.Standing standing = new EpochMessage.Standing(own.layout().epoch(), behind);
+            int voters = Math.min(VOTERS, script.members());
+            if (!keeps) send(1 + chance.nextInt(voters), standing);
+            else for (int i = 1; i <= voters; i++) send(i, standing);
+        }
+
         void take(Sent sent) {
             if (!up) return;
             if (traced != null && sent.message.toString().contains("token=" + traced + ",")) {
@@ -355,12 +399,17 @@
             Duration now = events.now();
             if (sent.message instanceof EpochMessage message) {
                 if (voter != null) voter.received(sent.from, message);
-                if (message instanceof EpochMessage.Standing standing) wish.told(sent.from, standing);
+                if (message instanceof EpochMessage.Standing standing) {
+                    wish.told(sent.from, standing);
+                    boolean missed = voter != null && !voter.blank() && standing.epoch() < voter.agreed().epoch();
+                    if (missed && !sent.from.equals(name)) send(number(sent.from), new EpochMessage.Agreed(voter.agreed()));
+                }
                 if (message instanceof EpochMessage.Agreed agreed) learn(agreed.layout());
                 long mine = own.layout().epoch();
                 boolean asks = message instanceof EpochMessage.WhatIsOpen || message instanceof EpochMessage.Agreed agreed && agreed.layout().epoch() < mine;
                 if (asks && mine > 0 && number(sent.from) <= VOTERS && !sent.from.equals(name)) send(number(sent.from), new EpochMessage.Agreed(own.layout()));
             } else if (sent.message instanceof CopyMessage message) {
+                if (message instanceof CopyMessage.Claim claim && !sent.from.equals(name)) modes.claimed(OPERATION, claim.leaves(), now);
                 if (message instanceof CopyMessage.Fetch fetch && fetch.layout() != null) learn(fetch.layout());
                 if (message instanceof CopyMessage.Want want) {
                     String result = own.result(want.id());
@@ -421,6 +470,7 @@
 
         private void send(int to, Object message) {
             outcomes.messages++;
+            if (to != number && counts != null) counts.sent(number, played(), message);
             Host at = hosts.get(to);
             if (at == null) return;
             List<Faults.Copy> copies = to == number ? List.of(new Faults.Copy(0, false)) : faults.fate(number, to, played());
@@ -459,7 +509,7 @@
             double at = action.act() == Plan.Act.START && action.atS() <= script.startS() ? action.atS() : action.atS() + forms;
             events.after(at, () -> act(action));
         }
-        double span = plan.lastS() + 8;
+        double span = Math.max(plan.lastS(), switchS + SWITCHES_S) + 8;
         for (int i = 0; i < tokenCount; i++) {
             String token = "token-" + i;
             double at = forms + chance.nextDouble() * span;
@@ -476,10 +526,73 @@
                 events.after(at + later, () -> ask(token, body));
             }
         }
+        if (counts != null) events.after(forms, this::lookBehind);
         events.run(forms + span + 25);
         return outcomes;
     }
 
+    /** What servers send, by server and second, and when their ranges are whole; for measurements. */
+    static final class Counts {
+        private static final double LOOK_S = 0.05;
+
+        private final Codec codec = new Codec("emulated", FleetKeys.of("a key of the emulator's own"));
+        private final Member sender = new Member(new MemberId("m1000", 1), new Address("10.0.0.1", 4200), "z1", "build-1", null, 1, State.HERE);
+        final Map<Integer, Map<Integer, long[]>> bySecond = new TreeMap<>();
+        /** Times at which some range was not whole. */
+        final List<Double> behindAt = new ArrayList<>();
+        final List<double[]> behind = new ArrayList<>();
+
+        void sent(int from, double atS, Object message) {
+            long[] both = bySecond.computeIfAbsent((int) Math.floor(atS), ignored -> new HashMap<>()).computeIfAbsent(from, ignored -> new long[2]);
+            both[0]++;
+            both[1] += codec.seal(sender, message, 1L << 40).length;
+        }
+
+        /** Of one server in a second: packets (0) or bytes (1), on the mean and at most, between two times. */
+        double[] each(int which, int fromS, int untilS, int servers) {
+            double sum = 0;
+            double most = 0;
+            for (int second = fromS; second < untilS; second++) {
+                for (long[] both : bySecond.getOrDefault(second, Map.of()).values()) {
+                    sum += both[which];
+                    most = Math.max(most, both[which]);
+                }
+            }
+            return new double[] {sum / servers / (untilS - fromS), most};
+        }
+    }
+
+    private Counts counts;
+
+    /** Counts what is sent, and looks when all ranges are whole. */
+    Counts counting() {
+        counts = new Counts();
+        return counts;
+    }
+
+    private void lookBehind() {
+        int behind = behind();
+        if (behind > 0) counts.behindAt.add(played());
+        counts.behind.add(new double[] {played(), behind});
+        events.after(Counts.LOOK_S, this::lookBehind);
+    }
+
+    /** A fleet that has formed long ago: its keepers are agreed on, as many as a layout takes, and keep nothing yet. */
+    CopiesWorld formed() {
+        List<Layout.Server> servers = new ArrayList<>();
+        int members = script.members();
+        int keepers = Math.min(members, Layout.MOST);
+        for (int i = 0; i < keepers; i++) {
+            int number = 1 + (int) ((long) i * members / keepers);
+            servers.add(new Layout.Server("m" + number, "z" + script.zone(number)));
+        }
+        servers.sort(Comparator.comparing(Layout.Server::name));
+        formed = new Layout(1, servers, servers, FACTOR);
+        return this;
+    }
+
+    private Layout formed;
+
     /** Time on the script, which begins when the fleet has formed. */
     private double played() {
         return events.seconds() - faultsShift;
@@ -495,6 +608,16 @@
 
     private String traced;
 
+    /** From then on the servers claim no more, one after the other; it is played until long behind that. */
+    public CopiesWorld switching(double atS, double eachS) {
+        switchS = atS;
+        switchEachS = eachS;
+        return this;
+    }
+
+    private double switchS = Double.NEGATIVE_INFINITY;
+    private double switchEachS;
+
     private void act(Plan.Action action) {
         Host host = hosts.get(action.slot());
         if (traced != null) System.out.printf(Locale.ROOT, "%9.4f %s %s%n", played(), action.act(), host.name);
@@ -541,8 +664,12 @@
             if (host.life != life || !host.up || host.paused) outcomes.unanswered++;
             else outcomes.errored++;
         });
-        if (!claims) {
-            // Each server knows of its own runs alone.
+        if (claims && host.switched() && host.modes.before(OPERATION, events.now()) == Modes.Before.CLAIM) {
+            host.modes = new Modes(SERVERS, BOUNDS.longest(), events.now());
+        }
+        Modes.Before before = claims ? host.modes.before(OPERATION, events.now()) : Modes.Before.NOTHING;
+        // What it runs without a claim each server knows of by itself.
+        if (before == Modes.Before.NOTHING || host.local.containsKey(token)) {
             String kept = host.local.putIfAbsent(token, "");
             if (kept != null) {
                 answered[0] = true;
@@ -554,7 +681,7 @@
             run(host, life, token, body, null, due, answered);
             return;
         }
-        host.own.claim(token, body, due.minusMillis(500), events.now().plus(WINDOW), events.now(), verdict -> {
+        Consumer<Verdict> then = verdict -> {
             if (answered[0]) {
                 // Its caller has been answered: nothing may begin for it.
                 if (verdict.what() == Verdict.What.RUN) host.own.neverRan(verdict.claim(), events.now().plus(WINDOW), events.now());
@@ -563,6 +690,7 @@
             switch (verdict.what()) {
                 case RUN -> {
                     outcomes.claimMs.add((events.seconds() - at) * 1e3);
+                    tokens.get(token).claimed(before == Modes.Before.CLAIM, events.seconds());
                     run(host, life, token, body, verdict, due, answered);
                 }
                 case REPLAY -> {
@@ -583,7 +711,8 @@
                     outcomes.errored++;
                 }
             }
-        });
+        };
+        host.own.claim(token, body, before == Modes.Before.CLAIM_STILL, due.minusMillis(500), events.now().plus(WINDOW), events.now(), then);
         host.carryOut();
     }
 
@@ -592,10 +721,15 @@
         outcomes.runs++;
         for (int i = 0; i < known.ranAt.size(); i++) {
             double before = known.ranAt.get(i);
-            if (events.seconds() - before >= WINDOW.toSeconds()) continue;
+            // A token whose first run was no fleet's stays so.
+            if (events.seconds() - before >= WINDOW.toSeconds() || claims && !known.claimed) continue;
             if (forgotten(known.keptBy.get(i), before)) outcomes.excused++;
             else broken(token + " was run again by " + host.name + ", " + verdict);
         }
+        if (verdict == null && claims) {
+            known.claimed(false, events.seconds());
+            outcomes.unclaimed++;
+        }
         known.ranAt.add(events.seconds());
         known.keptBy.add(host.own.layout().keepers(Layout.range(token)));
         double work = chance.nextInt(8) == 0 ? 3 * chance.nextDouble() : 0.05 * chance.nextDouble();
@@ -643,7 +777,7 @@
         outcomes.succeeded++;
         Token known = tokens.get(token);
         known.results.add(result);
-        if (known.results.size() > 1 && !(known.ranAt.size() > 1 && forgotten(known.keptBy.get(0), known.ranAt.get(0)))) broken(token + " was answered with two results " + known.results);
+        if (known.results.size() > 1 && (known.claimed || !claims) && !(known.ranAt.size() > 1 && forgotten(known.keptBy.get(0), known.ranAt.get(0)))) broken(token + " was answered with two results " + known.results);
         if (!result.startsWith(body + " by ")) broken(token + " was answered with another body's result");
     }
 
--- a/emulator/src/main/java/ochretiller/emulator/fleet/FleetWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/FleetWorld.java
@@ -14,6 +14,7 @@
 import java.util.TreeSet;
 import ochretiller.emulator.core.Events;
 import ochretiller.emulator.core.Seeds;
+import ochretiller.fleet.members.Acquaintances;
 import ochretiller.fleet.members.Address;
 import ochretiller.fleet.members.Change;
 import ochretiller.fleet.members.Member;
@@ -35,6 +36,7 @@
     private static final double LOOK_S = 0.1;
     /** Views that stay equal and right for so long have settled. */
     private static final double STAYS_S = 3;
+    private static final double KEEPS_S = 1;
     /** A kill is one fault; a member that is judged again within this time of it counts to it. */
     private static final double FAULT_S = 30;
 
@@ -51,6 +53,8 @@
     private final Map<Integer, Host> bySlot = new TreeMap<>();
     private final Map<Address, Host> byAddress = new HashMap<>();
     private final Map<Long, Host> byStart = new HashMap<>();
+    /** What each slot's disk has of whom it saw. */
+    private final Map<Integer, List<Address>> kept = new HashMap<>();
     private final FleetOutcome outcome = new FleetOutcome();
     private final Map<String, Integer> judged = new HashMap<>();
     private double settledSince = Double.NaN;
@@ -59,6 +63,7 @@
     private final class Host {
         final Plan.Slot slot;
         final Members members;
+        final Acquaintances acquaintances;
         final Deque<Packet> waits = new ArrayDeque<>();
         final Set<Long> knows = new HashSet<>();
         final double startedS = events.seconds();
@@ -79,6 +84,21 @@
             Member self = new Member(new MemberId(slot.name(), starts.nextLong() | 1), address, "z" + slot.zone(), "build-1", null, 1, State.JOINING);
             // A server's clock begins with its process: no two servers have the same time.
             members = new Members(self, told, pace(), seeds.of("host " + slot.number() + " " + events.done()), events.now());
+            List<Address> former = kept.getOrDefault(slot.number(), List.of());
+            acquaintances = new Acquaintances(address, former);
+            members.knew(former);
+            events.after(KEEPS_S, this::keep);
+        }
+
+        /** Whom it sees is kept on its disk for its next start, as by the server. */
+        void keep() {
+            if (!up) return;
+            if (!paused) {
+                acquaintances.met(members.view(), events.now());
+                List<Address> due = acquaintances.due(events.now());
+                if (due != null) kept.put(slot.number(), due);
+            }
+            events.after(KEEPS_S, this::keep);
         }
 
         void tick() {
--- a/emulator/src/main/java/ochretiller/emulator/fleet/Plan.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/Plan.java
@@ -20,7 +20,7 @@
     public enum Act { START, KILL, PAUSE, RESUME, LEAVE, IMAGE }
 
     /** What a link does. */
-    public enum Link { CUT, LOSS, DELAY, DUPLICATE, REORDER, CORRUPT, CROWD, FLOOD, CLOCK }
+    public enum Link { CUT, LOSS, DELAY, DUPLICATE, REORDER, CORRUPT, CROWD, FLOOD, CLOCK, FULL, STALL }
 
     /**
      * A server that is started at some time.
@@ -163,6 +163,8 @@
                 case "corrupt" -> fault(each, Link.CORRUPT, from, to);
                 case "crowd" -> fault(each, Link.CROWD, Set.of(), who);
                 case "flood" -> fault(each, Link.FLOOD, Set.of(), who);
+                case "full" -> fault(each, Link.FULL, Set.of(), who);
+                case "stall" -> fault(each, Link.STALL, Set.of(), who);
                 case "clock" -> fault(each, Link.CLOCK, Set.of(), who);
                 default -> throw new MalformedException(script.name() + ": unknown " + each.what());
             }
--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -18,6 +18,8 @@
 import ochretiller.operator.OperatorFile;
 import ochretiller.settings.MalformedException;
 import ochretiller.sim.SimHost;
+import ochretiller.standin.FaultyDisk;
+import ochretiller.store.Disk;
 import ochretiller.store.RealDisk;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -89,7 +91,7 @@
         Operator operator = read.get();
         if (operator.jsonLog()) Logs.json();
         Node node = new Node(configuration(file), operator, read,
-            operator.remember().map(remember -> new RealDisk(remember.folder())).orElse(null));
+            operator.remember().map(remember -> disk(operator, remember.folder())).orElse(null));
         Hangup.on(node::reload);
         node.listen();
         // The exit code of a drain is 0; without the halt it would be the signal's.
@@ -105,6 +107,11 @@
         return 0;
     }
 
+    private static Disk disk(Operator operator, Path folder) {
+        Disk disk = new RealDisk(folder);
+        return operator.drill().diskFault() == null ? disk : new FaultyDisk(disk, operator.drill().diskFault());
+    }
+
     @Command(name = "check", description = "Check a configuration as serve does, without listening.",
         mixinStandardHelpOptions = true)
     static int check(@Option(names = "--config", description = CONFIG) Path file,
@@ -116,6 +123,7 @@
             if (!alone) {
                 Node.routes(operator, configuration);
                 Node.plans(operator, configuration);
+                operator.fleet().ifPresent(fleet -> Node.copies(fleet, configuration));
             }
             operator.fleet().ifPresent(fleet -> FleetKeys.read(fleet.keyFile()));
             System.out.println("the operators' file " + operatorFile + " is good");
--- a/src/main/java/ochretiller/fleet/copies/Claims.java
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -71,6 +71,7 @@
     private static final class Attempt {
         final String token;
         final String body;
+        final boolean leaves;
         final Duration due;
         final Duration windowEnds;
         final Consumer<Verdict> then;
@@ -90,9 +91,10 @@
         ClaimId fetches;
         boolean rivalSeen;
 
-        Attempt(String token, String body, Duration due, Duration windowEnds, Consumer<Verdict> then) {
+        Attempt(String token, String body, boolean leaves, Duration due, Duration windowEnds, Consumer<Verdict> then) {
             this.token = token;
             this.body = body;
+            this.leaves = leaves;
             this.due = due;
             this.windowEnds = windowEnds;
             this.then = then;
@@ -207,11 +209,12 @@
     /**
      * Asks the keepers whether this may run here.
      *
+     * @param leaves     whether this server will soon claim its like no more, and no other has to mind that it does
      * @param due        when the run has to begin at the latest, or be given up
      * @param windowEnds end of the token's window
      * @param then       handed the one verdict, perhaps at once
      */
-    public void claim(String token, String body, Duration due, Duration windowEnds, Duration now, Consumer<Verdict> then) {
+    public void claim(String token, String body, boolean leaves, Duration due, Duration windowEnds, Duration now, Consumer<Verdict> then) {
         List<String> keepers = keepers(token);
         long silent = keepers.stream().filter(limit::silent).count();
         boolean hopeless = keepers.isEmpty() || keepers.size() - silent < Layout.majority(keepers.size());
@@ -222,7 +225,7 @@
         }
         limit.begun();
         again.earn(AGAIN_SHARE);
-        Attempt attempt = new Attempt(token, body, due, windowEnds, then);
+        Attempt attempt = new Attempt(token, body, leaves, due, windowEnds, then);
         renew(attempt);
         attempt.began = now;
         first(attempt, now);
@@ -252,7 +255,7 @@
     private void ask(Attempt attempt, String keeper, Duration now) {
         limit.asked(keeper);
         send(keeper, attempt.claims
-            ? new CopyMessage.Claim(layout.epoch(), attempt.token, attempt.id, attempt.body, until(attempt.windowEnds, now))
+            ? new CopyMessage.Claim(layout.epoch(), attempt.token, attempt.id, attempt.body, until(attempt.windowEnds, now), attempt.leaves)
             : new CopyMessage.Look(layout.epoch(), attempt.token, attempt.id));
     }
 
--- a/src/main/java/ochretiller/fleet/copies/CopyMessage.java
+++ b/src/main/java/ochretiller/fleet/copies/CopyMessage.java
@@ -8,8 +8,11 @@
 
 /** What is said about tokens, from one server to another, each in an epoch. */
 public sealed interface CopyMessage {
-    /** May I run this? {@code left} is the rest of its window. */
-    record Claim(long epoch, String token, ClaimId id, String body, Duration left) implements CopyMessage {
+    /** May I run this? {@code left} is the rest of its window; {@code leaves} is said by a server that will not claim its like for long. */
+    record Claim(long epoch, String token, ClaimId id, String body, Duration left, boolean leaves) implements CopyMessage {
+        public Claim(long epoch, String token, ClaimId id, String body, Duration left) {
+            this(epoch, token, id, body, left, false);
+        }
     }
 
     /** What do you know of it? Nothing is claimed by that; {@code id} names the question. */
--- a/src/main/java/ochretiller/fleet/copies/Verdict.java
+++ b/src/main/java/ochretiller/fleet/copies/Verdict.java
@@ -3,6 +3,7 @@
 /**
  * What a server may do with a keyed invocation, once the keepers have said enough.
  *
+ * @param claim   under which it may run; null where none was asked for
  * @param outcome how it has ended before, for {@link What#REPLAY}, {@link What#ENDED} and {@link What#OTHER_BODY}
  */
 public record Verdict(What what, ClaimId claim, Outcome outcome) {
--- a/src/main/java/ochretiller/fleet/epochs/Layout.java
+++ b/src/main/java/ochretiller/fleet/epochs/Layout.java
@@ -15,6 +15,10 @@
 public final class Layout {
     /** Parts into which all tokens fall: some for each of a hundred servers, few enough to list. */
     public static final int RANGES = 256;
+    /** Keepers at most: two ranges for each at the least, and a list that is soon told. */
+    public static final int MOST = 128;
+    /** Characters of names and zones, of both epochs, that go with what is said about a layout in one packet. */
+    private static final int MOST_TEXT = 5_500;
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
     private final long epoch;
@@ -96,6 +100,15 @@
         return keepers / 2 + 1;
     }
 
+    /** Whether it can be told in one packet. */
+    public boolean fits() {
+        return servers.size() <= MOST && text(servers) + text(former) <= MOST_TEXT;
+    }
+
+    private static int text(List<Server> servers) {
+        return servers.stream().mapToInt(each -> each.name.length() + each.zone.length() + 4).sum();
+    }
+
     public boolean has(String name) {
         return servers.stream().anyMatch(each -> each.name.equals(name));
     }
--- a/src/main/java/ochretiller/fleet/epochs/Wish.java
+++ b/src/main/java/ochretiller/fleet/epochs/Wish.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Which epoch a voter wishes for, from what it sees: one change at a time, and only of what has stood for a while. A view is an
@@ -74,9 +75,13 @@
         // One change at a time: what the last one moved is to be whole before the next, or there would be nobody to fetch it from.
         Duration stood = time.minus(epochSince);
         if (!now.servers().isEmpty() && (stood.compareTo(calm) < 0 || !whole(now) && stood.compareTo(longest) < 0)) return Optional.empty();
+        // Zones with the fewest keepers first: where not all servers can be keepers, no zone is to have most of them.
+        Map<String, Long> inZone = now.servers().stream().collect(Collectors.groupingBy(Layout.Server::zone, Collectors.counting()));
         Optional<Layout.Server> newcomer = servers.stream().filter(each -> !now.has(each.name()) && calmly(each.name(), true, time))
-            .min(Comparator.comparing(Layout.Server::name));
-        if (newcomer.isPresent()) return Optional.of(now.with(newcomer.get()));
+            .min(Comparator.comparing((Layout.Server each) -> inZone.getOrDefault(each.zone(), 0L)).thenComparing(Layout.Server::name));
+        // Guards against a list that no packet takes: the rest are served by those who keep, and take the place of one that is gone.
+        Optional<Layout> more = newcomer.map(now::with).filter(Layout::fits);
+        if (more.isPresent()) return more;
         if (now.servers().size() <= fewest) return Optional.empty();
         return now.servers().stream().filter(each -> calmly(each.name(), false, time)).findFirst().map(gone -> now.without(gone.name()));
     }
--- a/src/main/java/ochretiller/fleet/members/Members.java
+++ b/src/main/java/ochretiller/fleet/members/Members.java
@@ -55,6 +55,8 @@
 
     private final Pace pace;
     private final List<Address> seeds;
+    /** Others that a former process knew. */
+    private List<Address> former = List.of();
     private final RandomGenerator chance;
     private final Table table = new Table();
     private final Rumours rumours = new Rumours();
@@ -106,6 +108,12 @@
         this.joinsBy = pace.times(JOINS);
     }
 
+    /** Others that a former process of this server knew: asked beside the seeds, as long as nobody is seen. */
+    public void knew(List<Address> others) {
+        former = List.copyOf(others);
+        if (!former.isEmpty()) nextSeed = Duration.ZERO;
+    }
+
     private Duration spread(Duration span) {
         return Duration.ofNanos((long) (span.toNanos() * chance.nextDouble()));
     }
@@ -409,17 +417,23 @@
     }
 
     private void askSeeds() {
-        if (seeds.isEmpty() || awake.compareTo(nextSeed) < 0) return;
-        List<Address> open = new ArrayList<>(seeds);
-        open.remove(self.address());
-        for (Known known : table.all()) if (known.member.state().live()) open.remove(known.member.address());
-        if (!open.isEmpty()) begin(Probe.Kind.PROOF, 0, open.get(chance.nextInt(open.size())));
+        if (seeds.isEmpty() && former.isEmpty() || awake.compareTo(nextSeed) < 0) return;
+        askOne(seeds);
+        // Apart from the seeds: many that have moved meanwhile must not stand between a newcomer and the one seed that is there.
+        if (table.live() == 0) askOne(former);
         // Among many the pause grows with their number: a seed that comes back is not asked by all at once.
         Duration most = pace.times(Math.max(SEED_MOST, table.live()));
         seedPause = table.live() == 0 ? min(seedPause.multipliedBy(2), pace.times(SEED_MOST)) : most;
         nextSeed = awake.plus(seedPause.dividedBy(2)).plus(spread(seedPause));
     }
 
+    private void askOne(List<Address> addresses) {
+        List<Address> open = new ArrayList<>(addresses);
+        open.remove(self.address());
+        for (Known known : table.all()) if (known.member.state().live()) open.remove(known.member.address());
+        if (!open.isEmpty()) begin(Probe.Kind.PROOF, 0, open.get(chance.nextInt(open.size())));
+    }
+
     // ---- what is thought
 
     private void become(Known known, State state, long number) {
--- a/src/main/java/ochretiller/fleet/peers/Copies.java
+++ b/src/main/java/ochretiller/fleet/peers/Copies.java
@@ -6,15 +6,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -26,6 +22,7 @@
 import ochretiller.fleet.copies.Commit;
 import ochretiller.fleet.copies.CopyMessage;
 import ochretiller.fleet.copies.Keeper;
+import ochretiller.fleet.copies.Modes;
 import ochretiller.fleet.copies.Outcome;
 import ochretiller.fleet.copies.Pieces;
 import ochretiller.fleet.copies.Verdict;
@@ -48,6 +45,8 @@
     private static final Duration TICK = Duration.ofMillis(20);
     /** Voters tell all others what is in force, and ask and attempt, at spans moved by chance. */
     private static final Duration SPEAK = Duration.ofMillis(500);
+    /** Servers that each voter tells of the epoch each time: who has missed it says so itself. */
+    private static final int TELLS = 4;
     /** An attempt that is not agreed on by then is made again. */
     private static final Duration ATTEMPT = Duration.ofSeconds(1);
     /** One of so many ticks compares a range with another keeper. */
@@ -71,6 +70,7 @@
     private final BiConsumer<String, Object> send;
     private final Supplier<List<Seen>> view;
     private final Claims claims;
+    private final Modes modes;
     private final Wish wish;
     private final Shelf shelf;
     private final Commit commit;
@@ -80,7 +80,7 @@
     private final List<Long> starts;
     private final Keeper.Bounds bounds;
     private final VoterFile file;
-    private final ExecutorService writer;
+    private final SmallWrites writer;
     private final Map<String, Outcome> near = Bounded.byUse(NEAR);
     private final Metrics.Counter asked;
     private final Metrics.Counter granted;
@@ -88,6 +88,7 @@
     private final Metrics.Counter throttled;
     private final Metrics.Counter unknown;
     private final Metrics.Counter unkept;
+    private final Metrics.Counter still;
     private final Waits waits = new Waits();
     private final Metrics.Counter settledNever;
     private final Metrics.Counter settledEnds;
@@ -136,17 +137,14 @@
         this.start = start;
         this.chance = chance;
         this.send = send;
+        this.modes = new Modes(settings.modes(), longest, schedule.now());
         this.view = view;
         this.wish = new Wish(settings.calm(), longest, settings.factor());
         boolean votes = settings.voters().contains(name);
         file = votes ? new VoterFile(settings.voterFile()) : null;
         durable = votes ? file.read() : null;
         voter = votes ? new Voter(name, Set.copyOf(settings.voters()), durable, settings.factor(), false, chance.nextLong()) : null;
-        writer = votes ? new ThreadPoolExecutor(0, 1, 10, TimeUnit.SECONDS, new ArrayBlockingQueue<>(WRITES), work -> {
-            Thread thread = new Thread(work, "voter");
-            thread.setDaemon(true);
-            return thread;
-        }) : null;
+        writer = votes ? new SmallWrites("voter", WRITES) : null;
         bounds = new Keeper.Bounds(settings.most(), settings.mostBytes(), settings.catchUp(), longest);
         disk = store == null ? null : new KeeperDisk(store, longest);
         found = disk == null ? new KeeperDisk.Found(null, Map.of(), 0, KeeperDisk.Place.NONE) : disk.read(schedule.now());
@@ -165,6 +163,7 @@
         replayed = metrics.counter("fleet_claims_replayed_total", "Repeats that were answered with a result from the fleet");
         throttled = metrics.counter("fleet_claims_throttled_total", "Claims without a majority, which were not run");
         unknown = metrics.counter("fleet_claims_unknown_total", "Repeats of what another has claimed and nobody knows the end of");
+        still = metrics.counter("fleet_claims_still_total", "Claims of operations in server mode, as long as others may have claimed their tokens for the fleet");
         unkept = metrics.counter("fleet_ends_unkept_total", "Ends that no majority had kept when their answer was due");
         settledNever = metrics.counter("fleet_former_never_ran_total", "Claims of a former process of this server that it could prove never to have run");
         settledEnds = metrics.counter("fleet_former_ends_total", "Claims of a former process of this server whose ends it could tell");
@@ -213,7 +212,7 @@
 
     void close() {
         closed = true;
-        if (writer != null) writer.shutdown();
+        if (writer != null) writer.close();
     }
 
     private void tick() {
@@ -223,16 +222,22 @@
         if (keeper != null) tick(now);
         if (now.minus(spoken).compareTo(SPEAK) >= 0) {
             spoken = now.minus(Duration.ofNanos((long) (SPEAK.toNanos() / 2 * chance.nextDouble())));
-            if (keeper != null) {
-                EpochMessage.Standing standing = new EpochMessage.Standing(epochNow, keeper.returning() ? Layout.RANGES : keeper.behind());
-                settings.voters().forEach(to -> out(to, standing));
-            }
+            stand();
             if (voter != null) vote(now);
         }
         carryOut();
         schedule.after(TICK, this::tick);
     }
 
+    /** Keepers say to all voters how far they are, since the next epoch waits for it; others ask one whether they have missed any. */
+    private void stand() {
+        boolean keeps = keeper != null && claims.layout().has(name);
+        int behind = !keeps ? 0 : keeper.returning() ? Layout.RANGES : keeper.behind();
+        EpochMessage.Standing standing = new EpochMessage.Standing(epochNow, behind);
+        if (keeps) settings.voters().forEach(to -> out(to, standing));
+        else out(settings.voters().get(chance.nextInt(settings.voters().size())), standing);
+    }
+
     private void tick(Duration now) {
         keeper.tick(now);
         if (chance.nextInt(COMPARES) == 0) keeper.compare(chance);
@@ -299,7 +304,13 @@
         // Whom the view has forgotten altogether is as gone as one that it remembers.
         for (Layout.Server each : voter.agreed().servers()) there.putIfAbsent(each.name(), false);
         wish.seen(there, now);
-        if (voter.agreed().epoch() > 0) for (Layout.Server each : servers) if (!each.name().equals(name)) out(each.name(), new EpochMessage.Agreed(voter.agreed()));
+        if (voter.agreed().epoch() > 0) {
+            List<Layout.Server> told = new ArrayList<>(servers);
+            for (int i = 0; i < TELLS && !told.isEmpty(); i++) {
+                Layout.Server each = told.remove(chance.nextInt(told.size()));
+                if (!each.name().equals(name)) out(each.name(), new EpochMessage.Agreed(voter.agreed()));
+            }
+        }
         if (voter.attempting() && now.minus(attempted).compareTo(ATTEMPT) < 0) return;
         wish.next(voter.agreed(), servers, now).ifPresent(layout -> {
             attempted = now;
@@ -319,13 +330,14 @@
         Duration now = schedule.now();
         if (message instanceof EpochMessage word) {
             if (voter != null) voter.received(from, word);
-            if (word instanceof EpochMessage.Standing standing) wish.told(from, standing);
+            if (word instanceof EpochMessage.Standing standing) stands(from, standing);
             if (word instanceof EpochMessage.Agreed agreed && settings.voters().contains(from)) learn(agreed.layout());
             // Guards against voters that have all lost what they promised: what is in force is known to others, too.
             boolean asks = word instanceof EpochMessage.WhatIsOpen || word instanceof EpochMessage.Agreed agreed && agreed.layout().epoch() < epochNow;
             if (asks && epochNow > 0 && !from.equals(name) && settings.voters().contains(from)) out(from, new EpochMessage.Agreed(claims.layout()));
         } else if (message instanceof CopyMessage word) {
             if (word instanceof CopyMessage.Fetch fetch && fetch.layout() != null) learn(fetch.layout());
+            if (word instanceof CopyMessage.Claim claim && !from.equals(name)) modes.claimed(operation(claim.body()), claim.leaves(), now);
             if (word instanceof CopyMessage.Want want) wanted(from, want);
             if (word instanceof CopyMessage.Whether whether) formerly(whether);
             if (keeper != null) keeper.received(from, word, now);
@@ -334,6 +346,12 @@
         carryOut();
     }
 
+    private void stands(String from, EpochMessage.Standing standing) {
+        wish.told(from, standing);
+        boolean missed = voter != null && !voter.blank() && standing.epoch() < voter.agreed().epoch();
+        if (missed && !from.equals(name)) out(from, new EpochMessage.Agreed(voter.agreed()));
+    }
+
     private void learn(Layout layout) {
         if (layout.epoch() == 0) return;
         Duration now = schedule.now();
@@ -455,22 +473,19 @@
         }
         if (outs.isEmpty() && promised.equals(handed)) return;
         handed = promised;
-        try {
-            writer.execute(() -> {
-                try {
-                    file.write(promised);
-                    schedule.post(() -> {
-                        durable = promised;
-                        outs.forEach(this::say);
-                    });
-                } catch (IOException e) {
-                    // What is not on disk is not said: to the others it was lost on the way.
-                    LOG.warning("the voter's file cannot be written: " + e.getMessage());
-                }
-            });
-        } catch (RejectedExecutionException e) {
-            LOG.fine("the voter's disk is far behind"); // what is not on disk is not said, as above
-        }
+        boolean taken = writer.take(() -> {
+            try {
+                file.write(promised);
+                schedule.post(() -> {
+                    durable = promised;
+                    outs.forEach(this::say);
+                });
+            } catch (IOException e) {
+                // What is not on disk is not said: to the others it was lost on the way.
+                LOG.warning("the voter's file cannot be written: " + e.getMessage());
+            }
+        });
+        if (!taken) LOG.fine("the voter's disk is far behind"); // what is not on disk is not said, as above
     }
 
     private void say(Voter.Out each) {
@@ -535,15 +550,32 @@
         }
     }
 
+    /** What a request asks for, as claims and ends name it: its operation and a hash of its body. */
+    public static String body(String operation, byte[] hash) {
+        return operation + ' ' + HexFormat.of().formatHex(hash);
+    }
+
+    private static String operation(String body) {
+        int space = body.lastIndexOf(' ');
+        return space < 0 ? "" : body.substring(0, space);
+    }
+
     /**
      * Asks the fleet whether a tokened invocation may run here; {@code then} is handed the one verdict.
      *
-     * @param body       hash of what it asks for, its operation among it
+     * @param body       {@link #body} of what it asks for
      * @param due        when its run has to begin at the latest
      * @param windowEnds end of its window
      */
     public void claim(String token, String body, Duration due, Duration windowEnds, Consumer<Verdict> then) {
+        Duration began = schedule.now();
+        Modes.Before before = modes.before(operation(body), began);
+        if (before == Modes.Before.NOTHING) {
+            then.accept(new Verdict(Verdict.What.RUN, null, null));
+            return;
+        }
         asked.add();
+        if (before == Modes.Before.CLAIM_STILL) still.add();
         if (!KeeperDisk.fits(token)) {
             throttled.add();
             then.accept(new Verdict(Verdict.What.THROTTLED, null, null));
@@ -555,30 +587,31 @@
             then.accept(new Verdict(Verdict.What.REPLAY, null, known));
             return;
         }
-        Duration began = schedule.now();
-        claims.claim(token, body, due, windowEnds, began, verdict -> {
-            switch (verdict.what()) {
-                case RUN -> {
-                    granted.add();
-                    waits.add(schedule.now().minus(began));
-                }
-                case REPLAY -> {
-                    replayed.add();
-                    // Guards against a memory full of long results: those are fetched again.
-                    if (verdict.outcome().big()) break;
-                    near.put(token, verdict.outcome());
-                    // It may be known again by one window more than it should: a repeat behind its window is its caller's fault.
-                    schedule.after(windowEnds.minus(schedule.now()).isNegative() ? Duration.ZERO : windowEnds.minus(schedule.now()), () -> near.remove(token));
-                }
-                case THROTTLED -> throttled.add();
-                case UNKNOWN -> unknown.add();
-                default -> { }
-            }
-            then.accept(verdict);
-        });
+        claims.claim(token, body, before == Modes.Before.CLAIM_STILL, due, windowEnds, began, verdict -> told(token, began, windowEnds, verdict, then));
         carryOut();
     }
 
+    private void told(String token, Duration began, Duration windowEnds, Verdict verdict, Consumer<Verdict> then) {
+        switch (verdict.what()) {
+            case RUN -> {
+                granted.add();
+                waits.add(schedule.now().minus(began));
+            }
+            case REPLAY -> {
+                replayed.add();
+                // Guards against a memory full of long results: those are fetched again.
+                if (verdict.outcome().big()) break;
+                near.put(token, verdict.outcome());
+                // It may be known again by one window more than it should: a repeat behind its window is its caller's fault.
+                schedule.after(windowEnds.minus(schedule.now()).isNegative() ? Duration.ZERO : windowEnds.minus(schedule.now()), () -> near.remove(token));
+            }
+            case THROTTLED -> throttled.add();
+            case UNKNOWN -> unknown.add();
+            default -> { }
+        }
+        then.accept(verdict);
+    }
+
     /** A claimed run has never begun: its token is free again. */
     public void neverRan(ClaimId claim, Duration windowEnds) {
         claims.neverRan(claim, windowEnds, schedule.now());
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -97,6 +97,7 @@
             id(to, m.id());
             to.writeString(m.body());
             to.writeNumber(m.left().toMillis());
+            to.writeBoolean(m.leaves());
         } else if (message instanceof CopyMessage.Look m) {
             to.writeNumber(m.epoch());
             to.writeString(m.token());
@@ -207,7 +208,7 @@
 
     private static CopyMessage copy(CBORParser in, int kind) throws IOException {
         return switch (kind) {
-            case 0 -> new CopyMessage.Claim(Codec.number(in), token(in), id(in), Codec.text(in), millis(in));
+            case 0 -> new CopyMessage.Claim(Codec.number(in), token(in), id(in), Codec.text(in), millis(in), Codec.bool(in));
             case 1 -> new CopyMessage.Look(Codec.number(in), token(in), id(in));
             case 2 -> new CopyMessage.Answer(Codec.number(in), token(in), id(in), word(in), Codec.bool(in) ? Optional.of(id(in)) : Optional.empty(),
                 Codec.bool(in) ? Optional.of(outcome(in)) : Optional.empty(), Codec.number(in));
--- a/src/main/java/ochretiller/fleet/peers/CopySettings.java
+++ b/src/main/java/ochretiller/fleet/peers/CopySettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import ochretiller.fleet.copies.Modes;
 
 /**
  * How a fleet keeps claims and results of tokened invocations.
@@ -14,6 +15,8 @@
  * @param mostBytes of those entries, as reckoned, and half as much for long results that are kept in memory
  * @param calm      how long a server is there, or gone, before it is taken in or out
  * @param catchUp   bytes a second that are fetched by one that catches up, and as many that are sent to others who do
+ * @param modes    which operations run once in the fleet
  */
-public record CopySettings(List<String> voters, Path voterFile, int factor, int most, long mostBytes, Duration calm, long catchUp) {
+public record CopySettings(List<String> voters, Path voterFile, int factor, int most, long mostBytes, Duration calm, long catchUp,
+                           Modes.Told modes) {
 }
--- a/src/main/java/ochretiller/fleet/peers/Fleet.java
+++ b/src/main/java/ochretiller/fleet/peers/Fleet.java
@@ -6,12 +6,14 @@
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.logging.Logger;
 import java.util.random.RandomGenerator;
 import ochretiller.bounds.Bounded;
+import ochretiller.fleet.members.Acquaintances;
 import ochretiller.fleet.members.Address;
 import ochretiller.fleet.members.Change;
 import ochretiller.fleet.members.Member;
@@ -44,6 +46,9 @@
     private final PeerSocket socket;
     private final Door door;
     private final Copies copies;
+    /** Null where nothing is kept of who was seen. */
+    private final PeersFile peersFile;
+    private final Acquaintances acquaintances;
     private final BiConsumer<Member, Boolean> seen;
     private final Map<Address, InetSocketAddress> addresses = Bounded.byUse(ADDRESSES);
     private final Map<State, Integer> sizes = new EnumMap<>(State.class);
@@ -78,6 +83,10 @@
         Member self = new Member(new MemberId(name, start), at, settings.zone(), build, settings.serves() == null ? serves : settings.serves(), 1,
             State.JOINING);
         members = new Members(self, settings.seeds(), settings.pace(), chance, schedule.now());
+        peersFile = settings.peersFile() == null ? null : new PeersFile(settings.peersFile());
+        List<Address> former = peersFile == null ? List.of() : peersFile.read();
+        acquaintances = new Acquaintances(at, former);
+        members.knew(former);
         copies = settings.copies() == null ? null : new Copies(schedule, settings.copies(), name, start, longest, chance, metrics,
             this::send, () -> members.view(), store);
         door = new Door(codec, name, words(leave));
@@ -157,7 +166,9 @@
     private void look() {
         if (closed) return;
         sizes.clear();
-        for (Seen each : members.view()) sizes.merge(each.member().state(), 1, Integer::sum);
+        List<Seen> view = members.view();
+        keep(view);
+        for (Seen each : view) sizes.merge(each.member().state(), 1, Integer::sum);
         int[] next = new int[State.values().length];
         sizes.forEach((state, count) -> next[state.ordinal()] = count);
         sizesNow = next;
@@ -165,6 +176,13 @@
         schedule.after(FIGURES_EVERY, this::look);
     }
 
+    private void keep(List<Seen> view) {
+        if (peersFile == null) return;
+        acquaintances.met(view, schedule.now());
+        List<Address> due = acquaintances.due(schedule.now());
+        if (due != null) peersFile.write(due);
+    }
+
     private void taken(Codec.Opened opened) {
         if (closed) return;
         if (!(opened.body() instanceof Message)) {
@@ -250,6 +268,7 @@
     public void close() {
         closed = true;
         if (copies != null) copies.close();
+        if (peersFile != null) peersFile.close();
         socket.close();
     }
 }
--- a/src/main/java/ochretiller/node/Host.java
+++ b/src/main/java/ochretiller/node/Host.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -227,12 +226,7 @@
     // ---- what the fleet knows of a token
 
     private static String body(Try inv) {
-        return body(inv.operation.name(), Keys.hash(inv.body));
-    }
-
-    /** What was asked for, as the fleet's claims and ends name it. */
-    static String body(String operation, byte[] hash) {
-        return operation + ' ' + HexFormat.of().formatHex(hash);
+        return Copies.body(inv.operation.name(), Keys.hash(inv.body));
     }
 
     private Duration due(Try inv) {
@@ -247,7 +241,7 @@
     private void claim(Try inv, Runnable granted, Runnable not) {
         copies.claim(inv.token, body(inv), due(inv), windowEnds(inv), verdict -> schedule.post(() -> {
             if (verdict.what() == Verdict.What.RUN) {
-                claimed.put(inv.id, verdict.claim());
+                if (verdict.claim() != null) claimed.put(inv.id, verdict.claim());
                 // Looked at last: whose caller has its answer, or who slept meanwhile, begins nothing.
                 if (!inv.answered() && schedule.now().compareTo(due(inv)) < 0) {
                     granted.run();
@@ -304,13 +298,19 @@
                 }
                 if (told[0]) settle(inv);
             };
-            Runnable kept = copies == null ? answer : () -> copied(inv, end, result, good -> {
+            // The disk here and the keepers hear of it in the same moment; its answer waits for both.
+            int[] wait = {2};
+            Runnable kept = () -> {
+                if (--wait[0] == 0) answer.run();
+            };
+            if (recall == null) kept.run();
+            else recall.ended(inv, end, result, kept);
+            if (copies == null) kept.run();
+            else copied(inv, end, result, good -> {
                 // Nothing is answered as succeeded that a repeat elsewhere might not find.
                 if (!good) callers.fail(inv, Failure.UNKNOWN_END);
-                answer.run();
+                kept.run();
             });
-            if (recall == null) kept.run();
-            else recall.ended(inv, end, result, kept);
             // The decisions hear of it at once, though its answer may still wait for the disk: the core is free.
             then.apply(new RunEnd(end, took)).act(this);
             told[0] = true;
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -139,9 +139,7 @@
     }
 
     private Fleet fleet(FleetSettings told) throws IOException {
-        if (told.copies() != null && told.copies().voters().contains(configuration.name()) && told.copies().voterFile() == null) {
-            throw new MalformedException("fleet: " + configuration.name() + " is a voter and needs voter_file");
-        }
+        copies(told, configuration);
         String build = Node.class.getPackage().getImplementationVersion();
         InetSocketAddress at = operator.uwsgi().map(Operator.Uwsgi::listen).orElse(configuration.listen());
         return new Fleet(loop, network, told, configuration.name(), build == null ? "unpackaged" : build,
@@ -151,6 +149,17 @@
             }, () -> new Thread(() -> System.exit(0), "leave").start()); // the hook that a signal would run drains
     }
 
+    /** Holds what the operators say of copies against the server's name and operations. */
+    public static void copies(FleetSettings told, Configuration configuration) {
+        if (told.copies() == null) return;
+        if (told.copies().voters().contains(configuration.name()) && told.copies().voterFile() == null) {
+            throw new MalformedException("fleet: " + configuration.name() + " is a voter and needs voter_file");
+        }
+        for (String operation : told.copies().modes().byOperation().keySet()) {
+            if (!configuration.operations().containsKey(operation)) throw new MalformedException("fleet: modes: no operation " + operation);
+        }
+    }
+
     /** Holds the operators' routes against the operations; a route that cannot be is told, one that is odd is logged. */
     public static List<Route> routes(Operator operator, Configuration configuration) {
         Map<String, Operation> operations = configuration.operations();
@@ -260,7 +269,7 @@
 
     /** A Unix time on the schedule; a clock that was set back makes nothing come from the future. */
     private Duration sinceStart(long unixMillis) {
-        long unix = System.currentTimeMillis() + operator.drillClock().toMillis();
+        long unix = System.currentTimeMillis() + operator.drill().clock().toMillis();
         return loop.now().minusMillis(Math.max(0, unix - unixMillis));
     }
 
--- a/src/main/java/ochretiller/node/Recall.java
+++ b/src/main/java/ochretiller/node/Recall.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
+import ochretiller.fleet.peers.Copies;
 import ochretiller.fleet.peers.CopySettings;
 import ochretiller.fleet.peers.Former;
 import ochretiller.front.Try;
@@ -309,7 +310,7 @@
         } else if (mark.state() == Mark.State.MARKED) {
             then.accept(Known.UNKNOWN);
         } else {
-            String body = Host.body(mark.operation(), mark.body());
+            String body = Copies.body(mark.operation(), mark.body());
             Duration ends = schedule.now().plus(left(mark));
             if (mark.state() == Mark.State.LOST) then.accept(new Known(Kind.ENDED, body, null, ends));
             else result(token, read -> then.accept(read == null ? Known.UNKNOWN : new Known(Kind.ENDED, body, read, ends)));
--- a/src/main/java/ochretiller/operator/Operator.java
+++ b/src/main/java/ochretiller/operator/Operator.java
@@ -17,13 +17,23 @@
  * @param uwsgi    where front ends of uwsgi connect, if any do
  * @param pools    workers that carry out operations in the processor's place
  * @param fleet    the fleet that the server takes part in, if any
- * @param drillClock how far the Unix clock is set wrong, in drills only
+ * @param drill    faults of the machine, in drills only
  */
 public record Operator(boolean jsonLog, Optional<Figures> metrics, Optional<Remember> remember, Optional<Uwsgi> uwsgi,
-                       List<Workers> pools, Optional<FleetSettings> fleet, Duration drillClock) {
+                       List<Workers> pools, Optional<FleetSettings> fleet, Drill drill) {
     /** Nothing is switched on. */
     public static final Operator NONE = new Operator(false, Optional.empty(), Optional.empty(), Optional.empty(), List.of(),
-        Optional.empty(), Duration.ZERO);
+        Optional.empty(), Drill.NONE);
+
+    /**
+     * What drills put on a machine and its disk.
+     *
+     * @param clock     how far the Unix clock is set wrong
+     * @param diskFault a file that says, while it is there, what is wrong with the disk; or null
+     */
+    public record Drill(Duration clock, Path diskFault) {
+        public static final Drill NONE = new Drill(Duration.ZERO, null);
+    }
 
     /**
      * A front that speaks uwsgi.
--- a/src/main/java/ochretiller/operator/OperatorFile.java
+++ b/src/main/java/ochretiller/operator/OperatorFile.java
@@ -5,10 +5,14 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import ochretiller.fleet.copies.Modes;
 import ochretiller.fleet.members.Address;
 import ochretiller.fleet.members.Pace;
 import ochretiller.fleet.peers.CopySettings;
@@ -41,7 +45,7 @@
             remember.isMissingNode() ? Optional.empty() : Optional.of(remember(remember)),
             root.has("uwsgi") ? Optional.of(uwsgi(root.get("uwsgi"))) : Optional.empty(), pools(root.path("pools")),
             root.has("fleet") ? Optional.of(fleet(root.get("fleet"))) : Optional.empty(),
-            drillClock(root.path("drill")));
+            drill(root.path("drill")));
     }
 
     private static List<Operator.Workers> pools(JsonNode pools) {
@@ -85,7 +89,8 @@
         node.path("seeds").forEach(each -> seeds.add(fleetAddress(each)));
         Pace usual = Pace.USUAL;
         return new FleetSettings(node.get("name").asText(), address(node.get("listen").asText()), node.has("advertise") ? fleetAddress(node.get("advertise")) : null,
-            node.has("serves") ? fleetAddress(node.get("serves")) : null, Path.of(node.get("key_file").asText()), List.copyOf(seeds), node.path("zone").asText(""),
+            node.has("serves") ? fleetAddress(node.get("serves")) : null, Path.of(node.get("key_file").asText()),
+            node.has("peers_file") ? Path.of(node.get("peers_file").asText()) : null, List.copyOf(seeds), node.path("zone").asText(""),
             new Pace(millis(node, "probe_ms", usual.probe().toMillis()), Duration.ofSeconds(node.path("forget_s").asLong(usual.forget().toSeconds())),
                 node.path("most_gone").asInt(usual.mostGone())), node.has("copies") ? copies(node.get("copies")) : null);
     }
@@ -96,7 +101,17 @@
         if (new HashSet<>(voters).size() < voters.size()) throw new MalformedException("fleet: a voter is named twice");
         return new CopySettings(List.copyOf(voters), node.has("voter_file") ? Path.of(node.get("voter_file").asText()) : null, node.path("factor").asInt(3),
             node.path("most_entries").asInt(20_000), node.path("most_mb").asLong(16) << 20, millis(node, "calm_ms", 5_000),
-            node.path("catch_up_kb_per_s").asLong(2_048) << 10);
+            node.path("catch_up_kb_per_s").asLong(2_048) << 10, modes(node));
+    }
+
+    private static Modes.Told modes(JsonNode node) {
+        Map<String, Modes.Mode> byOperation = new HashMap<>();
+        node.path("modes").properties().forEach(each -> byOperation.put(each.getKey(), mode(each.getValue().asText())));
+        return new Modes.Told(mode(node.path("mode").asText("fleet")), byOperation);
+    }
+
+    private static Modes.Mode mode(String text) {
+        return Modes.Mode.valueOf(text.toUpperCase(Locale.ROOT));
     }
 
     private static Address fleetAddress(JsonNode node) {
@@ -107,11 +122,11 @@
         }
     }
 
-    /** Drills set a server's clock wrong; anywhere else that would be a fault nobody could see. */
-    private static Duration drillClock(JsonNode drill) {
-        if (drill.isMissingNode()) return Duration.ZERO;
-        if (System.getenv("OCHRETILLER_DRILL") == null) throw new MalformedException("drill: only drills may set a clock wrong");
-        return Duration.ofMillis(drill.path("clock_ms").asLong(0));
+    /** Drills set a server's clock wrong and its disk faulty; anywhere else that would be a fault nobody could see. */
+    private static Operator.Drill drill(JsonNode drill) {
+        if (drill.isMissingNode()) return Operator.Drill.NONE;
+        if (System.getenv("OCHRETILLER_DRILL") == null) throw new MalformedException("drill: only drills may set clocks and disks wrong");
+        return new Operator.Drill(Duration.ofMillis(drill.path("clock_ms").asLong(0)), drill.has("disk_fault") ? Path.of(drill.get("disk_fault").asText()) : null);
     }
 
     private static Operator.Uwsgi uwsgi(JsonNode node) {
--- a/src/test/java/ochretiller/fleet/copies/CatchUpTest.java
+++ b/src/test/java/ochretiller/fleet/copies/CatchUpTest.java
@@ -200,7 +200,7 @@
         String result = "0123456789".repeat(5_000);
         boolean[] runs = {false};
         boolean[] kept = {false};
-        owner.claim("t", "body", now.plusSeconds(5), now.plus(WINDOW), now, verdict -> {
+        owner.claim("t", "body", false, now.plusSeconds(5), now.plus(WINDOW), now, verdict -> {
             runs[0] = verdict.what() == Verdict.What.RUN;
             owner.ended(verdict.claim(), Outcome.apart("body", result), result, now.plusSeconds(20), now.plus(WINDOW), now, good -> kept[0] = good);
         });
--- a/src/test/java/ochretiller/fleet/copies/CopiesTest.java
+++ b/src/test/java/ochretiller/fleet/copies/CopiesTest.java
@@ -171,7 +171,7 @@
 
     private ClaimId begin() {
         claims.outs();
-        claims.claim("t", "body", now.plusSeconds(2), now.plus(WINDOW), now, verdicts::add);
+        claims.claim("t", "body", false, now.plusSeconds(2), now.plus(WINDOW), now, verdicts::add);
         return ((CopyMessage.Claim) claims.outs().get(0).message()).id();
     }
 
@@ -238,7 +238,7 @@
         verdicts.clear();
         claims.outs();
         Duration later = now.plusSeconds(1);
-        for (int i = 0; i < 2; i++) claims.claim("t", "body", later.plusSeconds(2), later.plus(WINDOW), later, verdicts::add);
+        for (int i = 0; i < 2; i++) claims.claim("t", "body", false, later.plusSeconds(2), later.plus(WINDOW), later, verdicts::add);
         assertThat(verdicts).as("one goes out to see, the other is throttled at once").hasSize(1);
         assertThat(only()).isEqualTo(Verdict.What.THROTTLED);
     }
@@ -251,6 +251,20 @@
         assertThat(only()).isEqualTo(Verdict.What.THROTTLED);
     }
 
+    @Test
+    void aServerStopsClaimingOnceNobodyMayHaveClaimedForGood() {
+        Modes modes = new Modes(new Modes.Told(Modes.Mode.SERVER, Map.of("order", Modes.Mode.FLEET)), WINDOW, now);
+        assertThat(modes.before("order", now)).isEqualTo(Modes.Before.CLAIM);
+        assertThat(modes.before("other", now)).isEqualTo(Modes.Before.CLAIM_STILL);
+        assertThat(modes.before("other", now.plus(WINDOW))).isEqualTo(Modes.Before.NOTHING);
+        modes.claimed("order", false, now.plusSeconds(15));
+        modes.claimed("other", true, now.plusSeconds(15));
+        assertThat(modes.before("other", now.plus(WINDOW))).as("an operation that stays the fleet's, a server that stops too").isEqualTo(Modes.Before.NOTHING);
+        modes.claimed("other", false, now.plusSeconds(15));
+        assertThat(modes.before("other", now.plus(WINDOW))).as("another server still claims").isEqualTo(Modes.Before.CLAIM_STILL);
+        assertThat(modes.before("other", now.plusSeconds(15).plus(WINDOW))).isEqualTo(Modes.Before.NOTHING);
+    }
+
     @Test
     void whoIsHeldOffMakesWayAndLooksForTheEnd() {
         ClaimId id = begin();
--- a/src/test/java/ochretiller/fleet/epochs/VoterTest.java
+++ b/src/test/java/ochretiller/fleet/epochs/VoterTest.java
@@ -212,4 +212,35 @@
         alone.told("a", new EpochMessage.Standing(4, 0));
         assertThat(alone.next(three, List.of(), Duration.ofSeconds(60))).as("they may have the only copies").isEmpty();
     }
+
+    @Test
+    void aFleetOfManyHasSoManyKeepersAndNoZoneMostOfThem() {
+        Wish wish = new Wish(Duration.ofSeconds(2), Duration.ofSeconds(60), 3);
+        List<Layout.Server> known = new ArrayList<>();
+        Map<String, Boolean> view = new TreeMap<>();
+        for (int i = 0; i < 400; i++) known.add(new Layout.Server("m" + i, i < 340 ? "big" : "z" + i % 2));
+        for (Layout.Server each : known) view.put(each.name(), true);
+        Duration time = Duration.ZERO;
+        Layout layout = Layout.none(3);
+        wish.seen(view, time);
+        for (int i = 0; i < 400; i++) {
+            wish.next(layout, known, time); // it hears of the epoch
+            time = time.plusSeconds(3);
+            Layout next = wish.next(layout, known, time).orElse(null);
+            if (next == null) break;
+            layout = next;
+            for (Layout.Server each : layout.servers()) wish.told(each.name(), new EpochMessage.Standing(layout.epoch(), 0));
+        }
+        assertThat(layout.servers()).hasSize(Layout.MOST);
+        assertThat(layout.servers().stream().filter(each -> each.zone().equals("big")).count()).isBetween(40L, 70L);
+        String gone = layout.servers().get(0).name();
+        view.put(gone, false);
+        wish.seen(view, time);
+        wish.next(layout, known, time);
+        layout = wish.next(layout, known, time.plusSeconds(30)).orElseThrow();
+        assertThat(layout.has(gone)).as("its place is another's").isFalse();
+        for (Layout.Server each : layout.servers()) wish.told(each.name(), new EpochMessage.Standing(layout.epoch(), 0));
+        wish.next(layout, known, time.plusSeconds(30));
+        assertThat(wish.next(layout, known, time.plusSeconds(40)).orElseThrow().servers()).hasSize(Layout.MOST);
+    }
 }
--- a/src/test/java/ochretiller/fleet/peers/CodecTest.java
+++ b/src/test/java/ochretiller/fleet/peers/CodecTest.java
@@ -98,6 +98,22 @@
         }
     }
 
+    @Test
+    void theLargestLayoutThatIsWishedForGoesInOnePacket() throws RefusedException {
+        for (int length : new int[] {1, 6, 30, 64}) {
+            Layout layout = Layout.none(3);
+            for (int i = 0; i < 1_000 && layout.with(longest(i, length)).fits(); i++) layout = layout.with(longest(i, length));
+            assertThat(layout.servers().size()).isGreaterThan(15).isLessThanOrEqualTo(Layout.MOST);
+            byte[] bytes = codec.seal(from, new CopyMessage.Fetch(layout.epoch(), 255, Long.MAX_VALUE, CopyMessage.Order.TOKEN, new CopyMessage.Place(-5, "x".repeat(200)),
+                Sketch.of(new byte[24 * 14]), List.of(), layout), Long.MAX_VALUE);
+            assertThat(codec.open(bytes, bytes.length).body()).isNotNull();
+        }
+    }
+
+    private static Layout.Server longest(int number, int length) {
+        return new Layout.Server(number + "n".repeat(Math.max(0, length - 3)), "z" + "z".repeat(Math.max(0, length - 2)) + number % 3);
+    }
+
     @Test
     void aTokenThatNoKeyHasRoomForIsRefused() {
         byte[] bytes = codec.seal(from, new CopyMessage.Look(1, "\u20ac".repeat(90), new ClaimId("s", 1, 1)), 5);
