Decide on versions as pure code: stages, a test that halts, leases; chain an audit

Need: the fleet's third part, an audit of versions. Nobody acts by it yet: off everywhere.

Change: - `fleet.epochs`: a layout carries the rollout of a version, so that the voters agree on both in one register, and any of them goes on. - `fleet.versions`: stages (one, a quarter of each zone, all) that each server can tell by itself; a rollout's next step, stopped by refusals or by a sequential test on throttled, errored, late and lost value, taken back as a version forward; leases that count from the question by a server's own clock; whose lease a voter renews, with a bound on how many are shut out and on how many come back. - `audit`: spans of what was acted on, chained by hashes; what several servers' records tell, unknown stretches said as such. - `drill cost` plays full load, a slow keeper and a minority.

Each changed byte of a small chain is seen.

--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -33,6 +33,7 @@
     private static final Pattern PART = Pattern.compile("(\\S+)/([0-9a-f]+) takes part in fleet");
     /** Two dozen servers fit the machine beside what they are drilled with. */
     private static final int MEMORY_MB = 64;
+    private static final int LOAD_MB = 256;
     private static final int STARTS_S = 40;
     /** The repository, whose package is drilled. */
     private static final Path ROOT = Path.of(System.getProperty("drill.root", ".")).toAbsolutePath();
@@ -55,6 +56,8 @@
     volatile boolean leaves;
     /** What becomes of the end of a run that was begun: by default it comes at once. */
     volatile Consumer<Runnable> ends = Runnable::run;
+    /** Whether it has room for a load that is measured. */
+    boolean forLoad;
     /** How its next process claims, as the operators' file says it. */
     volatile String mode = "fleet";
     /** Characters on top of each result. */
@@ -160,7 +163,8 @@
     void start(int listen, int advertise, List<Integer> seeds, int probeMs, boolean on, double clockS, int voters, boolean stores) throws IOException {
         Path config = folder.resolve("config.json");
         Files.writeString(config, Gateways.config(serves, outside.processorPort(), outside.recordsPort(), outside.rosterPort())
-            .replace("\"name\":\"n1\"", "\"name\":\"" + slot.name() + "\"").replace("\"memory_mb\":192", "\"memory_mb\":" + MEMORY_MB));
+            .replace("\"name\":\"n1\"", "\"name\":\"" + slot.name() + "\"").replace("\"memory_mb\":192", "\"memory_mb\":" + (forLoad ? LOAD_MB : MEMORY_MB))
+            .replace("\"keyKb\":10", "\"keyKb\":" + (forLoad ? 1 : 10)));
         Path key = folder.resolve("key");
         Files.writeString(key, "a key that only drills have\n");
         Path operator = folder.resolve("operator.json5");
@@ -205,7 +209,7 @@
         if (voters == 0) return "";
         List<String> names = new ArrayList<>();
         for (int i = 1; i <= voters; i++) names.add("'m" + i + "'");
-        return ", copies: { voters: [" + String.join(",", names) + "], voter_file: '" + folder.resolve("voter") + "', calm_ms: 1500, mode: '" + mode + "' }";
+        return ", copies: { voters: [" + String.join(",", names) + "], voter_file: '" + folder.resolve("voter") + "', calm_ms: 1500, " + (forLoad ? "most_entries: 100000, most_mb: 64, " : "") + "mode: '" + mode + "' }";
     }
 
     /** Whether it has logged a line with this in it, within a bounded time. */
--- a/drill/src/main/java/ochretiller/drill/Cost.java
+++ b/drill/src/main/java/ochretiller/drill/Cost.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -27,20 +28,39 @@
     /** Bytes of a sealed claim and of its answer, echoed beside the load for a bare round trip. */
     private static final int PACKET = 300;
     private static final int WARM_S = 3;
-    /** Between two of a caller: what a server keeps of tokens in a window has a bound, and a full one would be measured instead. */
-    private static final int PAUSE_MS = 20;
 
-    private final int members;
-    private final int callers;
-    private final int seconds;
-    private final boolean links;
+    /** What is measured. */
+    enum Kind {
+        /** Servers for themselves; copies in memory; copies on disk. */
+        NONE, MEMORY, DISK,
+        /** On disk, and all that the last server says comes late. */
+        SLOW,
+        /** On disk, with the first server cut off from all others: what its callers get. */
+        MINORITY;
+
+        boolean copies() {
+            return this != NONE;
+        }
+
+        boolean store() {
+            return this != NONE && this != MEMORY;
+        }
+    }
+
+    /**
+     * @param callers of each server: half of them send keyed invocations, half idempotent ones
+     * @param pauseMs between two of a caller
+     * @param links   whether the drill's links lie between the servers, as they do for faults in any case
+     * @param slowMs  by how much words of a slow keeper come late
+     */
+    record Asked(int members, int callers, int seconds, int pauseMs, boolean links, double slowMs) {
+    }
+
+    private final Asked asked;
     private final Consumer<String> progress;
 
-    Cost(int members, int callers, int seconds, boolean links, Consumer<String> progress) {
-        this.members = members;
-        this.callers = callers;
-        this.seconds = seconds;
-        this.links = links;
+    Cost(Asked asked, Consumer<String> progress) {
+        this.asked = asked;
         this.progress = progress;
     }
 
@@ -63,22 +83,31 @@
     }
 
     /** One row: how copies are kept, and what came of the load. */
-    String row(Path folder, boolean copies, boolean store) throws Exception {
-        FleetScript script = FleetScriptFile.of("{ name: 'cost', seconds: 1, members: " + members + ", zones: 3, seeds: 3, copies: true, store: " + store + " }", "cost");
+    String row(Path folder, Kind kind) throws Exception {
+        int members = asked.members;
+        String slow = kind == Kind.SLOW ? ", incidents: [ { at_s: 0, for_s: 900, what: 'delay', from: '" + members + "', strength: " + asked.slowMs + " } ]" : "";
+        FleetScript script = FleetScriptFile.of("{ name: 'cost', seconds: 1000, members: " + members + ", zones: 3, seeds: 3, copies: true, store: " + kind.store() + slow + " }", "cost");
         Times keyed = new Times();
+        Times throttled = new Times();
         Times reads = new Times();
         Times bare = new Times();
         Times handed = new Times();
         AtomicLong refused = new AtomicLong();
-        try (Stage stage = new Stage(script, 1, folder, true, copies, progress)) {
-            (links ? stage : stage.direct()).raise((slot, body) -> { });
+        boolean minority = kind == Kind.MINORITY;
+        boolean links = asked.links || minority || kind == Kind.SLOW;
+        try (Stage stage = new Stage(script, 1, folder, true, kind.copies(), progress)) {
+            if (!links) stage.direct();
+            stage.forLoad();
+            stage.raise((slot, body) -> { });
+            if (minority) stage.cut(Set.of(1));
             AtomicInteger numbers = new AtomicInteger();
             long begins = System.nanoTime() + WARM_S * 1_000_000_000L;
-            long ends = begins + seconds * 1_000_000_000L;
+            long ends = begins + asked.seconds * 1_000_000_000L;
             List<Thread> threads = new ArrayList<>();
-            for (int i = 0; i < callers; i++) {
+            for (int i = 0; i < asked.callers * members; i++) {
                 int slot = 1 + i % members;
                 boolean isKeyed = i / members % 2 == 0;
+                if (minority && slot != 1) continue;
                 threads.add(thread(() -> {
                     try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), stage.box(slot).serves))) {
                         while (System.nanoTime() < ends) {
@@ -88,20 +117,19 @@
                                 Gateways.params(String.format("%016x", number), isKeyed ? String.format("%032x", number) : null, "b" + number)));
                             String line = wire.line();
                             if (line == null) return;
-                            if (at < begins) {
-                                Thread.sleep(PAUSE_MS);
-                                continue;
+                            if (at >= begins) {
+                                if (line.contains("\"result\"")) (isKeyed ? keyed : reads).add(System.nanoTime() - at);
+                                else if (isKeyed && line.contains("-32014")) throttled.add(System.nanoTime() - at);
+                                else refused.incrementAndGet();
                             }
-                            if (line.contains("\"result\"")) (isKeyed ? keyed : reads).add(System.nanoTime() - at);
-                            else refused.incrementAndGet();
-                            Thread.sleep(PAUSE_MS);
+                            if (asked.pauseMs > 0) Thread.sleep(asked.pauseMs);
                         }
                     }
                 }));
             }
             threads.add(thread(() -> echo(bare, begins, ends, false)));
             threads.add(thread(() -> echo(handed, begins, ends, true)));
-            for (Thread thread : threads) thread.join((WARM_S + seconds + 15) * 1000L);
+            for (Thread thread : threads) thread.join((WARM_S + asked.seconds + 15) * 1000L);
             Thread.sleep(1_500); // figures are written each second
             double forces = 0;
             double records = 0;
@@ -114,14 +142,16 @@
                 p50 += figure(file, "fleet_claim_p50_seconds") * 1e3 / members;
                 p99 = Math.max(p99, figure(file, "fleet_claim_p99_seconds") * 1e3);
             }
-            return String.format(Locale.ROOT, "%d,%s,%d,%.0f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.2f,%.3f,%.3f,%.3f,%.3f,%.1f,%d", members, !copies ? "none" : store ? "disk" : "memory", callers,
-                keyed.count() / (double) seconds, keyed.ms(50), keyed.ms(99), keyed.ms(99.9), reads.ms(50), reads.ms(99), p50, p99, bare.ms(50), bare.ms(99), handed.ms(50), handed.ms(99),
+            return String.format(Locale.ROOT, "%d,%s,%d,%d,%.0f,%.2f,%.2f,%.2f,%d,%.2f,%.2f,%.0f,%.2f,%.2f,%.2f,%.2f,%.3f,%.3f,%.3f,%.3f,%.1f,%d", members, kind.name().toLowerCase(Locale.ROOT),
+                asked.callers * members, asked.pauseMs, keyed.count() / (double) asked.seconds, keyed.ms(50), keyed.ms(99), keyed.ms(99.9), throttled.count(), throttled.ms(50),
+                throttled.ms(99), reads.count() / (double) asked.seconds, reads.ms(50), reads.ms(99), p50, p99, bare.ms(50), bare.ms(99), handed.ms(50), handed.ms(99),
                 forces == 0 ? 0 : records / forces, refused.get());
         }
     }
 
-    static final String HEAD = "servers,copies,callers,keyed a second,keyed p50 ms,keyed p99 ms,keyed p99.9 ms,idempotent p50 ms,idempotent p99 ms,"
-        + "claim p50 ms (mean of servers),claim p99 ms (worst server),bare round trip p50 ms,bare p99 ms,handed over p50 ms,handed over p99 ms,records a force,refused";
+    static final String HEAD = "servers,copies,callers,pause ms,keyed a second,keyed p50 ms,keyed p99 ms,keyed p99.9 ms,throttled,throttled p50 ms,throttled p99 ms,"
+        + "idempotent a second,idempotent p50 ms,idempotent p99 ms,claim p50 ms (mean of servers),claim p99 ms (worst server),bare round trip p50 ms,bare p99 ms,"
+        + "handed over p50 ms,handed over p99 ms,records a force,refused";
 
     private interface Work {
         void run() throws Exception;
--- a/drill/src/main/java/ochretiller/drill/Drill.java
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -89,14 +89,17 @@
     @Command(name = "cost", mixinStandardHelpOptions = true, description = "What copies cost keyed and idempotent invocations, beside servers without them.")
     int cost(@Option(names = "--members", defaultValue = "3,8", split = ",") List<Integer> members, @Option(names = "--callers", defaultValue = "4", description = "For each server.") int callers,
              @Option(names = "--seconds", defaultValue = "8") int seconds,
+             @Option(names = "--pause-ms", defaultValue = "20", description = "Between two of a caller; 0 for full load.") int pauseMs,
              @Option(names = "--links", description = "With the drill's links between the servers, as drills have them.") boolean links,
+             @Option(names = "--kinds", defaultValue = "none,memory,disk", split = ",", description = "Of ${COMPLETION-CANDIDATES}.") List<Cost.Kind> kinds,
+             @Option(names = "--slow-ms", defaultValue = "15", description = "By how much the words of a slow keeper come late.") double slowMs,
              @Option(names = "--out", description = "A file for the table.") Path out) throws Exception {
         List<String> rows = new ArrayList<>(List.of(Cost.HEAD));
         System.out.println(Cost.HEAD);
         for (int size : members) {
-            for (int kind = 0; kind < 3; kind++) {
-                Cost cost = new Cost(size, callers * size, seconds, links, System.err::println);
-                String row = cost.row(Files.createTempDirectory("cost"), kind > 0, kind == 2);
+            for (Cost.Kind kind : kinds) {
+                Cost cost = new Cost(new Cost.Asked(size, callers, seconds, pauseMs, links, slowMs), System.err::println);
+                String row = cost.row(Files.createTempDirectory("cost"), kind);
                 System.out.println(row);
                 rows.add(row);
             }
@@ -143,6 +146,7 @@
 
     public static void main(String[] words) {
         CommandLine line = new CommandLine(new Drill());
+        line.setCaseInsensitiveEnumValuesAllowed(true);
         line.setExecutionExceptionHandler((fault, command, parsed) -> {
             if (!(fault instanceof MalformedException)) throw fault;
             System.err.println("drill: " + fault.getMessage());
--- a/drill/src/main/java/ochretiller/drill/Stage.java
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -62,6 +62,7 @@
     private volatile boolean over;
     /** Whether servers are told one another's own addresses, and nothing lies between them. */
     private boolean direct;
+    private boolean forLoad;
 
     /**
      * A stage with nobody on it yet.
@@ -133,6 +134,12 @@
         return this;
     }
 
+    /** Servers have room for what they are measured with: else it would be the bounds on what is kept that are measured. */
+    Stage forLoad() {
+        forLoad = true;
+        return this;
+    }
+
     /** Starts all servers of the script, and tells of each run that is begun; nothing else is played. */
     void raise(BiConsumer<Integer, String> ran) throws IOException, InterruptedException {
         for (Plan.Slot slot : plan.slots()) box(slot, ran);
@@ -193,7 +200,9 @@
     }
 
     private void box(Plan.Slot slot, BiConsumer<Integer, String> ran) throws IOException {
-        boxes.put(slot.number(), new Box(slot, folder, history, (rid, operation, body) -> ran.accept(slot.number(), body)));
+        Box box = new Box(slot, folder, history, (rid, operation, body) -> ran.accept(slot.number(), body));
+        box.forLoad = forLoad;
+        boxes.put(slot.number(), box);
     }
 
     private void ran(int slot, String body) {
--- /dev/null
+++ b/src/main/java/ochretiller/audit/Chain.java
@@ -0,0 +1,114 @@
+package ochretiller.audit;
+
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+
+/**
+ * A chain of records: each has the hash of the one before and its own, over its number, that hash and its bytes. Whoever knows a later
+ * hash knows whether all before it is as it was.
+ */
+public final class Chain {
+    /** Bytes of a hash. */
+    public static final int HASH = 32;
+    private static final byte[] NOTHING = new byte[HASH];
+
+    private long number;
+    private byte[] last;
+
+    /** One record. */
+    public record Link(long number, byte[] before, byte[] hash, byte[] body) {
+        /** Whether its hash is that of what it says. */
+        public boolean whole() {
+            return Arrays.equals(hash, Chain.hash(number, before, body));
+        }
+    }
+
+    /** Where a chain ends, or ended when somebody looked. */
+    public record Head(long number, String hash) {
+        public static final Head NONE = new Head(0, "");
+
+        public Head {
+            if (number < 0 || !hash.isEmpty() && hash.length() != 2 * HASH) throw new IllegalArgumentException("no head");
+        }
+    }
+
+    /** What is wrong with a chain, from the record of this number on. */
+    public record Fault(long number, String text) {
+    }
+
+    private Chain(long number, byte[] last) {
+        this.number = number;
+        this.last = last;
+    }
+
+    /** A chain without any record. */
+    public static Chain fresh() {
+        return new Chain(0, NOTHING);
+    }
+
+    /** One that goes on behind this record; behind none, one that is new. */
+    public static Chain behind(Link link) {
+        return link == null ? fresh() : new Chain(link.number, link.hash);
+    }
+
+    /** The next record. */
+    public Link append(byte[] body) {
+        Link link = new Link(number + 1, last, hash(number + 1, last, body), body);
+        number = link.number;
+        last = link.hash;
+        return link;
+    }
+
+    public Head head() {
+        return number == 0 ? Head.NONE : new Head(number, HexFormat.of().formatHex(last));
+    }
+
+    private static byte[] hash(long number, byte[] before, byte[] body) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update(ByteBuffer.allocate(8).putLong(number).array());
+            digest.update(before);
+            return digest.digest(body);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e); // each JDK has it
+        }
+    }
+
+    /**
+     * Holds records against one another and against what others know of the chain.
+     *
+     * @param links as they were found, oldest first; aged ones before them are gone by rule, so the first may have any number
+     * @param known heads that others were told of, in any order
+     */
+    public static List<Fault> verify(List<Link> links, List<Head> known) {
+        List<Fault> faults = new ArrayList<>();
+        Link before = null;
+        for (Link link : links) {
+            if (!link.whole()) faults.add(new Fault(link.number, "is not what its hash says"));
+            if (before != null && link.number != before.number + 1) {
+                faults.add(new Fault(before.number + 1, link.number <= before.number ? "is out of its place" : (link.number - before.number - 1) + " records are missing"));
+            } else if (before != null && !Arrays.equals(link.before, before.hash)) {
+                faults.add(new Fault(link.number, "does not follow the one before it"));
+            } else if (before == null && link.number == 1 && !Arrays.equals(link.before, NOTHING)) {
+                faults.add(new Fault(1, "is no first record"));
+            }
+            before = link;
+        }
+        long last = before == null ? 0 : before.number;
+        long first = links.isEmpty() ? 0 : links.get(0).number;
+        for (Head head : known) {
+            if (head.number() > last) {
+                faults.add(new Fault(last + 1, "the last " + (head.number() - last) + " records are lost: others know of number " + head.number()));
+            } else if (head.number() >= first && head.number() > 0) {
+                boolean same = links.stream().anyMatch(each -> each.number == head.number() && HexFormat.of().formatHex(each.hash).equals(head.hash()));
+                if (!same) faults.add(new Fault(head.number(), "others know it otherwise"));
+            }
+        }
+        return faults;
+    }
+}
--- a/src/main/java/ochretiller/fleet/epochs/Layout.java
+++ b/src/main/java/ochretiller/fleet/epochs/Layout.java
@@ -25,6 +25,7 @@
     private final List<Server> servers;
     private final List<Server> former;
     private final int factor;
+    private final Rollout rollout;
     private final List<List<String>> keepers = new ArrayList<>();
     private final List<List<String>> formerKeepers = new ArrayList<>();
 
@@ -37,6 +38,12 @@
      * @param factor keepers of each range, as long as there are that many
      */
     public Layout(long epoch, List<Server> servers, List<Server> former, int factor) {
+        this(epoch, servers, former, factor, Rollout.NONE);
+    }
+
+    /** @param rollout what servers act on */
+    public Layout(long epoch, List<Server> servers, List<Server> former, int factor, Rollout rollout) {
+        this.rollout = rollout;
         this.epoch = epoch;
         this.servers = List.copyOf(servers);
         this.former = List.copyOf(former);
@@ -69,6 +76,10 @@
         return factor;
     }
 
+    public Rollout rollout() {
+        return rollout;
+    }
+
     /** The range that a token falls into. */
     public static int range(String token) {
         return (int) (HASH.hashChars(token) & (RANGES - 1));
@@ -118,27 +129,33 @@
         List<Server> next = new ArrayList<>(servers);
         next.add(server);
         next.sort(Comparator.comparing(Server::name));
-        return new Layout(epoch + 1, next, servers, factor);
+        return new Layout(epoch + 1, next, servers, factor, rollout);
+    }
+
+    /** The next epoch, with the same keepers. */
+    public Layout with(Rollout next) {
+        return new Layout(epoch + 1, servers, servers, factor, next);
     }
 
     /** The next epoch, with one less. */
     public Layout without(String name) {
-        return new Layout(epoch + 1, servers.stream().filter(each -> !each.name.equals(name)).toList(), servers, factor);
+        return new Layout(epoch + 1, servers.stream().filter(each -> !each.name.equals(name)).toList(), servers, factor, rollout);
     }
 
     @Override
     public boolean equals(Object other) {
         return other instanceof Layout layout && epoch == layout.epoch && factor == layout.factor && servers.equals(layout.servers)
-            && former.equals(layout.former);
+            && former.equals(layout.former) && rollout.equals(layout.rollout);
     }
 
     @Override
     public int hashCode() {
-        return Objects.hash(epoch, servers, former, factor);
+        return Objects.hash(epoch, servers, former, factor, rollout);
     }
 
     @Override
     public String toString() {
-        return "epoch " + epoch + " of " + servers.stream().map(Server::name).toList();
+        String versions = rollout.to().number() == 0 ? "" : ", version " + rollout.to().number() + (rollout.over() ? "" : " at stage " + rollout.stage() + ' ' + rollout.state());
+        return "epoch " + epoch + " of " + servers.stream().map(Server::name).toList() + versions;
     }
 }
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -21,6 +21,7 @@
 import ochretiller.fleet.epochs.Ballot;
 import ochretiller.fleet.epochs.EpochMessage;
 import ochretiller.fleet.epochs.Layout;
+import ochretiller.fleet.epochs.Rollout;
 
 /** Bodies of what is said about epochs and tokens, kinds 16 to 47 of the envelope; {@code docs/fleet-wire.md}. */
 final class CopyCodec {
@@ -35,6 +36,8 @@
         CopyMessage.Page.class, CopyMessage.Compare.class, CopyMessage.Recollect.class, CopyMessage.Recollected.class, CopyMessage.Want.class,
         CopyMessage.Piece.class);
 
+    private static final Rollout.State[] ROLLOUTS = Rollout.State.values();
+
     private CopyCodec() {
     }
 
@@ -313,13 +316,40 @@
         to.writeNumber(layout.factor());
         servers(to, layout.servers());
         servers(to, layout.former());
+        Rollout rollout = layout.rollout();
+        version(to, rollout.to());
+        version(to, rollout.from());
+        to.writeNumber(rollout.stage());
+        to.writeNumber(rollout.state().ordinal());
+    }
+
+    private static void version(CBORGenerator to, Rollout.Version version) throws IOException {
+        to.writeNumber(version.number());
+        to.writeString(version.hash());
+        to.writeNumber(version.size());
+        to.writeString(version.build());
+        to.writeString(version.by());
+        to.writeString(version.why());
+    }
+
+    private static Rollout.Version version(CBORParser in) throws IOException {
+        return new Rollout.Version(Codec.number(in), Codec.text(in), Math.toIntExact(Codec.number(in)), Codec.text(in), Codec.text(in), Codec.text(in));
+    }
+
+    private static Rollout rollout(CBORParser in) throws IOException {
+        Rollout.Version to = version(in);
+        Rollout.Version from = version(in);
+        int stage = Math.toIntExact(Codec.number(in));
+        long state = Codec.number(in);
+        if (state < 0 || state >= ROLLOUTS.length) throw new IllegalArgumentException("no state");
+        return new Rollout(to, from, stage, ROLLOUTS[(int) state]);
     }
 
     static Layout layout(CBORParser in) throws IOException {
         long epoch = Codec.number(in);
         long factor = Codec.number(in);
         if (epoch < 0 || factor < 1 || factor > 9) throw new IllegalArgumentException("no layout");
-        return new Layout(epoch, servers(in), servers(in), (int) factor);
+        return new Layout(epoch, servers(in), servers(in), (int) factor, rollout(in));
     }
 
     private static void layoutOrNone(CBORGenerator to, Layout layout) throws IOException {
--- a/src/test/java/ochretiller/ArchitectureTest.java
+++ b/src/test/java/ochretiller/ArchitectureTest.java
@@ -28,12 +28,12 @@
         List.of("processor", "records", "roster"),
         List.of("keys", "contracts"),
         List.of("net", "standin", "runs"),
-        List.of("text", "store", "remembered", "metrics", "pools", "budgets", "fleet.members", "fleet.copies"),
+        List.of("text", "store", "remembered", "metrics", "pools", "budgets", "fleet.members", "fleet.copies", "fleet.versions", "audit"),
         List.of("fleet.epochs"),
         List.of("server", "spans", "bounds"),
         List.of("model"));
     /** Settings put the decisions together; they read values and do nothing else. */
-    private static final List<String> DECISIONS = List.of("policy", "spans", "bounds", "model", "server", "remembered", "pools", "budgets", "contracts", "fleet.members", "fleet.copies", "fleet.epochs");
+    private static final List<String> DECISIONS = List.of("policy", "spans", "bounds", "model", "server", "remembered", "pools", "budgets", "contracts", "fleet.members", "fleet.copies", "fleet.epochs", "fleet.versions", "audit");
 
     private final JavaClasses classes = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
         .importPackages("ochretiller");
