Bring versions out to a fleet by stages, from any voter, with leases and taking back

Change: `fleet.copies.versions` of the operators' file. Invocations are bound to the version that they are read under; what becomes of them is told by version. A server whose lease has ended throttles keyed work before it runs, looked at last before its begin. `fleet versions|pause|go-on|take-back`. Off without it.

--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -34,6 +34,8 @@
     /** Two dozen servers fit the machine beside what they are drilled with. */
     private static final int MEMORY_MB = 64;
     private static final int LOAD_MB = 256;
+    /** Spans short enough to be drilled. */
+    private static final String VERSIONS = ", versions: { folder: '%s', lease_ms: 2000, grace_ms: 3000, watch_ms: 1500, patience_ms: 4000 }";
     private static final int STARTS_S = 40;
     /** The repository, whose package is drilled. */
     private static final Path ROOT = Path.of(System.getProperty("drill.root", ".")).toAbsolutePath();
@@ -58,10 +60,14 @@
     volatile Consumer<Runnable> ends = Runnable::run;
     /** Whether it has room for a load that is measured. */
     boolean forLoad;
+    /** What else its operators' file says, as members of it. */
+    String more = "";
+    /** Whether versions are brought out to it. */
+    boolean versions;
     /** How its next process claims, as the operators' file says it. */
     volatile String mode = "fleet";
     /** Characters on top of each result. */
-    volatile int more;
+    volatile int longer;
 
     Box(Plan.Slot slot, Path folder, History history, StandIns.Runs runs) throws IOException {
         this.slot = slot;
@@ -70,6 +76,7 @@
         // Of another run.
         Files.deleteIfExists(this.folder.resolve("voter"));
         Files.deleteIfExists(this.folder.resolve("peers"));
+        Disks.delete(this.folder.resolve("versions"));
         diskIs(null);
         Disks.delete(store());
         Disks.delete(image());
@@ -79,7 +86,7 @@
             runs.begun(rid, operation, body);
             ends.accept(() -> {
                 try {
-                    outside.complete(rid, "done " + body + " by " + slot.number() + " as " + rid + ".".repeat(more));
+                    outside.complete(rid, "done " + body + " by " + slot.number() + " as " + rid + ".".repeat(longer));
                 } catch (IOException e) {
                     throw new UncheckedIOException(e);
                 }
@@ -170,7 +177,7 @@
         Path operator = folder.resolve("operator.json5");
         List<String> told = new ArrayList<>();
         for (int port : seeds) told.add("'127.0.0.1:" + port + "'");
-        Files.writeString(operator, "{ metrics: { file: '" + folder.resolve("metrics.prom") + "', every_ms: 1000 }," + (stores ? "remember: { folder: '" + store() + "' }," : "") + (on ? """
+        Files.writeString(operator, "{ " + more + " metrics: { file: '" + folder.resolve("metrics.prom") + "', every_ms: 1000 }," + (stores ? "remember: { folder: '" + store() + "' }," : "") + (on ? """
             fleet: { name: 'drill', listen: '127.0.0.1:%d', advertise: '127.0.0.1:%d', key_file: '%s', peers_file: '%s', seeds: [%s], zone: 'z%d', probe_ms: %d%s }
             """.formatted(listen, advertise, key, folder.resolve("peers"), String.join(",", told), slot.zone(), probeMs, copies(voters)) : "")
             + ", drill: { clock_ms: " + (long) (-clockS * 1000) + ", disk_fault: '" + fault() + "' } }");
@@ -209,7 +216,7 @@
         if (voters == 0) return "";
         List<String> names = new ArrayList<>();
         for (int i = 1; i <= voters; i++) names.add("'m" + i + "'");
-        return ", copies: { voters: [" + String.join(",", names) + "], voter_file: '" + folder.resolve("voter") + "', calm_ms: 1500, " + (forLoad ? "most_entries: 100000, most_mb: 64, " : "") + "mode: '" + mode + "' }";
+        return ", copies: { voters: [" + String.join(",", names) + "], voter_file: '" + folder.resolve("voter") + "', calm_ms: 1500, " + (forLoad ? "most_entries: 100000, most_mb: 64, " : "") + "mode: '" + mode + "'" + (versions ? VERSIONS.formatted(folder.resolve("versions")) : "") + " }";
     }
 
     /** Whether it has logged a line with this in it, within a bounded time. */
--- a/drill/src/main/java/ochretiller/drill/Drill.java
+++ b/drill/src/main/java/ochretiller/drill/Drill.java
@@ -86,6 +86,18 @@
         }
     }
 
+    @Command(name = "versions", mixinStandardHelpOptions = true,
+        description = "Versions that are brought out to packaged servers under load: one is paused through it, its publisher is killed, one does harm.")
+    int versions(@Option(names = "--out", description = "A folder for stores and logs.") Path out) throws Exception {
+        Path folder = out != null ? out : Files.createTempDirectory("versions");
+        try (VersionSteps steps = new VersionSteps(folder, System.err::println)) {
+            List<String> broken = steps.play();
+            broken.forEach(line -> System.out.println("broken: " + line));
+            if (broken.isEmpty()) System.out.println("each step came out as it has to");
+            return broken.isEmpty() ? 0 : BROKEN;
+        }
+    }
+
     @Command(name = "cost", mixinStandardHelpOptions = true, description = "What copies cost keyed and idempotent invocations, beside servers without them.")
     int cost(@Option(names = "--members", defaultValue = "3,8", split = ",") List<Integer> members, @Option(names = "--callers", defaultValue = "4", description = "For each server.") int callers,
              @Option(names = "--seconds", defaultValue = "8") int seconds,
--- a/drill/src/main/java/ochretiller/drill/Stage.java
+++ b/drill/src/main/java/ochretiller/drill/Stage.java
@@ -63,6 +63,7 @@
     /** Whether servers are told one another's own addresses, and nothing lies between them. */
     private boolean direct;
     private boolean forLoad;
+    private String more;
 
     /**
      * A stage with nobody on it yet.
@@ -134,6 +135,12 @@
         return this;
     }
 
+    /** Versions are brought out to the servers, which have this in their operators' files, too. */
+    Stage versions(String members) {
+        more = members;
+        return this;
+    }
+
     /** Servers have room for what they are measured with: else it would be the bounds on what is kept that are measured. */
     Stage forLoad() {
         forLoad = true;
@@ -202,6 +209,8 @@
     private void box(Plan.Slot slot, BiConsumer<Integer, String> ran) throws IOException {
         Box box = new Box(slot, folder, history, (rid, operation, body) -> ran.accept(slot.number(), body));
         box.forLoad = forLoad;
+        box.versions = more != null;
+        box.more = more == null ? "" : more;
         boxes.put(slot.number(), box);
     }
 
--- a/drill/src/main/java/ochretiller/drill/Steps.java
+++ b/drill/src/main/java/ochretiller/drill/Steps.java
@@ -186,9 +186,9 @@
     /** A result that goes by pieces, at all servers, and behind the owner's end. */
     private void longResult() throws Exception {
         String token = token("long result");
-        stage.box(1).more = 60_000;
+        stage.box(1).longer = 60_000;
         String first = until(1, token, token, how -> how.startsWith("succeeded"));
-        stage.box(1).more = 0;
+        stage.box(1).longer = 0;
         need(token, first.startsWith("succeeded") && first.length() > 60_000, "the first: " + first.length() + " characters");
         same(token, first, 2);
         stage.box(1).kill();
--- /dev/null
+++ b/drill/src/test/java/ochretiller/drill/VersionStepsTest.java
@@ -0,0 +1,20 @@
+package ochretiller.drill;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Versions brought out to packaged servers, with a fault at a step of each. */
+class VersionStepsTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void eachVersionComesOutAsItHasTo() throws Exception {
+        try (VersionSteps steps = new VersionSteps(folder, line -> { })) {
+            assertThat(steps.play()).isEmpty();
+        }
+    }
+}
--- a/src/main/java/ochretiller/commands/FleetCommand.java
+++ b/src/main/java/ochretiller/commands/FleetCommand.java
@@ -7,6 +7,7 @@
 import java.io.PrintWriter;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.Locale;
@@ -169,6 +170,113 @@
         return 0;
     }
 
+    @Command(name = "publish", mixinStandardHelpOptions = true,
+        description = "Bring a version out to the fleet, by stages; one of its voters has to be asked. A version is an operators' file with pools and nothing else.")
+    int publish(@CommandLine.Mixin Whom whom, @CommandLine.Parameters(description = "The version.") Path file,
+                @Option(names = "--why", required = true, description = "Why, in a line.") String why,
+                @Option(names = "--by", description = "Who; the user's name by default.") String by,
+                @Option(names = "--build", defaultValue = "", description = "The least build that can act on it.") String least,
+                @Option(names = "--wait", description = "Wait until it is in force, halted or taken back.") boolean wait) throws IOException, InterruptedException {
+        String text = Files.readString(file);
+        String who = by == null ? System.getProperty("user.name") : by;
+        for (String each : new String[] {who, why, least}) if (each.contains("\n")) throw new MalformedException("a line has no end of a line in it");
+        JsonNode told;
+        try (FleetClient client = whom.dial()) {
+            told = JSON.readTree(client.ask("version-publish", who + '\n' + why + '\n' + least + '\n' + text));
+        }
+        if (refused(whom, told)) return FAILED;
+        long number = told.get("published").asLong();
+        PrintWriter out = spec.commandLine().getOut();
+        if (!whom.json) out.println("version " + number + " is brought out");
+        out.flush();
+        return wait ? follow(whom, number) : 0;
+    }
+
+    /** Tells each step of a rollout until it is over. */
+    private int follow(Whom whom, long number) throws InterruptedException {
+        String last = "";
+        while (true) {
+            Thread.sleep(LOOK_MS);
+            JsonNode told;
+            try {
+                told = ask(whom, "version-status");
+            } catch (IOException e) {
+                continue; // any voter carries it on; this one may be back
+            }
+            long version = told.get("version").asLong();
+            String state = told.get("state").asText();
+            boolean over = version > number || version == number && (state.equals("DONE") || state.equals("HALTED"));
+            String line = version < number ? "not agreed on yet" : "version " + version + ", " + (over ? state : "stage " + told.get("stage").asInt() + ", " + state);
+            if (!line.equals(last)) System.err.println(line);
+            last = line;
+            if (!over) continue;
+            boolean good = version == number && state.equals("DONE");
+            show(whom, told, good ? "version " + number + " is in force" : "version " + number + " is not: " + told.get("halted").asText() + told.get("why").asText());
+            return good ? 0 : FAILED;
+        }
+    }
+
+    private void show(Whom whom, JsonNode told, String text) {
+        PrintWriter out = spec.commandLine().getOut();
+        out.println(whom.json ? told.toString() : text);
+        out.flush();
+    }
+
+    private boolean refused(Whom whom, JsonNode told) {
+        String why = told.path("refused").asText();
+        if (why.isEmpty() || told.has("servers")) return false;
+        if (whom.json) show(whom, told, "");
+        else System.err.println("refused: " + why);
+        return true;
+    }
+
+    @Command(name = "versions", mixinStandardHelpOptions = true, description = "Which version is in force, how far the next has come, and who acts on which.")
+    int versions(@CommandLine.Mixin Whom whom) throws IOException {
+        JsonNode told = ask(whom, "version-status");
+        if (refused(whom, told)) return FAILED;
+        PrintWriter out = spec.commandLine().getOut();
+        if (whom.json) {
+            out.println(told);
+        } else {
+            out.printf(Locale.ROOT, "version %d, %s at stage %d, before it %d; by %s: %s%n", told.get("version").asLong(), told.get("state").asText(), told.get("stage").asInt(),
+                told.get("before").asLong(), told.get("by").asText(), told.get("why").asText());
+            if (!told.get("halted").asText().isEmpty()) out.println("the last one that was stopped: " + told.get("halted").asText());
+            out.printf(Locale.ROOT, "%s acts on %d; its lease %s%n", told.get("name").asText(), told.get("acts").asLong(),
+                told.get("may").asBoolean() ? "holds for " + told.get("lease_left_ms").asLong() + " ms" : "has ended: keyed work is throttled");
+            for (Map.Entry<String, JsonNode> each : told.get("servers").properties()) {
+                out.printf(Locale.ROOT, "%-20s acts on %d%s%s%n", each.getKey(), each.getValue().get("acts").asLong(),
+                    each.getValue().get("refused").asLong() == 0 ? "" : ", refuses " + each.getValue().get("refused").asLong(), each.getValue().get("out").asBoolean() ? ", shut out" : "");
+            }
+        }
+        out.flush();
+        return 0;
+    }
+
+    @Command(name = "pause", mixinStandardHelpOptions = true, description = "Stop a rollout where it is.")
+    int pause(@CommandLine.Mixin Whom whom) throws IOException {
+        return steer(whom, "pause");
+    }
+
+    @Command(name = "go-on", mixinStandardHelpOptions = true, description = "Let a rollout go on that was paused or halted.")
+    int goOn(@CommandLine.Mixin Whom whom) throws IOException {
+        return steer(whom, "go-on");
+    }
+
+    @Command(name = "take-back", mixinStandardHelpOptions = true, description = "Bring back what was before, for all at once, as a version of its own.")
+    int takeBack(@CommandLine.Mixin Whom whom) throws IOException {
+        return steer(whom, "take-back");
+    }
+
+    private int steer(Whom whom, String word) throws IOException {
+        JsonNode told;
+        try (FleetClient client = whom.dial()) {
+            told = JSON.readTree(client.ask("version-" + word, System.getProperty("user.name")));
+        }
+        if (refused(whom, told)) return FAILED;
+        show(whom, told, word + " is asked for; see `fleet versions`");
+        return 0;
+    }
+
     @Command(name = "leave", mixinStandardHelpOptions = true, description = "Tell a server to drain and end, as SIGTERM does; waits until it is gone.")
     int leave(@CommandLine.Mixin Whom whom, @Option(names = "--within", defaultValue = "60", description = "Seconds to wait.") int within)
         throws IOException, InterruptedException {
--- a/src/main/java/ochretiller/fleet/epochs/Rollout.java
+++ b/src/main/java/ochretiller/fleet/epochs/Rollout.java
@@ -38,8 +38,8 @@
         /** Characters of a hash, and of what people say at most. */
         public static final int HASH = 64;
         public static final int LONGEST = 120;
-        /** Bytes of a version at most. */
-        public static final int MOST = 256 * 1024;
+        /** Bytes of a version at most: what goes with one word at the fleet's door. */
+        public static final int MOST = 48 * 1024;
 
         /** Guards against a peer that says less or more than a version is. */
         public Version {
--- a/src/main/java/ochretiller/fleet/peers/Codec.java
+++ b/src/main/java/ochretiller/fleet/peers/Codec.java
@@ -15,6 +15,7 @@
 import ochretiller.fleet.members.Message;
 import ochretiller.fleet.members.Packet;
 import ochretiller.fleet.members.State;
+import ochretiller.fleet.versions.VersionMessage;
 
 /**
  * The envelope and what is in it, as {@code docs/fleet-wire.md} has it: {@code OF}, version, least version that can read it,
@@ -80,10 +81,12 @@
             to.writeStartArray(null, 6);
             to.writeString(fleet);
             to.writeNumber(sequence);
-            to.writeNumber(message instanceof Message ? KINDS.indexOf(message.getClass()) + 1 : CopyCodec.kind(message));
+            to.writeNumber(message instanceof Message ? KINDS.indexOf(message.getClass()) + 1
+                : message instanceof VersionMessage ? VersionCodec.kind(message) : CopyCodec.kind(message));
             to.writeNumber(0L);
             member(to, sender);
             if (message instanceof Message known) body(to, known);
+            else if (message instanceof VersionMessage version) VersionCodec.write(to, version);
             else CopyCodec.write(to, message);
             to.writeEndArray();
         } catch (IOException e) {
@@ -112,6 +115,7 @@
             long epoch = number(from);
             Member sender = member(from);
             if (CopyCodec.knows(kind)) return new Opened(sender, CopyCodec.read(from, (int) kind), sequence, epoch);
+            if (VersionCodec.knows(kind)) return new Opened(sender, VersionCodec.read(from, (int) kind), sequence, epoch);
             if (kind < 1 || kind > KINDS.size()) throw new RefusedException(Refused.KIND);
             return new Opened(sender, body(from, (int) kind), sequence, epoch);
         } catch (IOException | IllegalArgumentException | NullPointerException e) {
--- a/src/main/java/ochretiller/fleet/peers/Copies.java
+++ b/src/main/java/ochretiller/fleet/peers/Copies.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -31,6 +32,7 @@
 import ochretiller.fleet.epochs.Voter;
 import ochretiller.fleet.epochs.Wish;
 import ochretiller.fleet.members.Seen;
+import ochretiller.fleet.versions.VersionMessage;
 import ochretiller.metrics.Metrics;
 import ochretiller.net.Schedule;
 import ochretiller.store.Store;
@@ -98,6 +100,8 @@
     /** What is on its disk, and what was handed over to be written last. */
     private Voter.Promised durable;
     private Voter.Promised handed;
+    /** Null where no versions are brought out. */
+    private Versions versions;
     /** Null until an epoch is known. */
     private Keeper keeper;
     /** Null where nothing outlives a restart. */
@@ -199,7 +203,13 @@
         metrics.counted("fleet_old_disks_total", "Times that this server's disk was found older than its word", () -> figures.oldDisks);
     }
 
+    /** Versions go by the epochs of these copies. */
+    void bring(Versions all) {
+        versions = all;
+    }
+
     void start() {
+        if (versions != null && epochNow > 0) versions.become(claims.layout());
         if (voter != null && epochNow > 0) voter.received(name, new EpochMessage.Agreed(claims.layout()));
         if (voter != null && !voter.blank()) learn(voter.agreed());
         tick();
@@ -213,12 +223,14 @@
     void close() {
         closed = true;
         if (writer != null) writer.close();
+        if (versions != null) versions.close();
     }
 
     private void tick() {
         if (closed) return;
         Duration now = schedule.now();
         claims.tick(now);
+        if (versions != null) versions.tick();
         if (keeper != null) tick(now);
         if (now.minus(spoken).compareTo(SPEAK) >= 0) {
             spoken = now.minus(Duration.ofNanos((long) (SPEAK.toNanos() / 2 * chance.nextDouble())));
@@ -312,7 +324,7 @@
             }
         }
         if (voter.attempting() && now.minus(attempted).compareTo(ATTEMPT) < 0) return;
-        wish.next(voter.agreed(), servers, now).ifPresent(layout -> {
+        wish.next(voter.agreed(), servers, now).or(() -> versions == null || voter.agreed().epoch() == 0 ? Optional.empty() : versions.next(voter.agreed())).ifPresent(layout -> {
             attempted = now;
             voter.attempt(layout);
         });
@@ -335,6 +347,8 @@
             // Guards against voters that have all lost what they promised: what is in force is known to others, too.
             boolean asks = word instanceof EpochMessage.WhatIsOpen || word instanceof EpochMessage.Agreed agreed && agreed.layout().epoch() < epochNow;
             if (asks && epochNow > 0 && !from.equals(name) && settings.voters().contains(from)) out(from, new EpochMessage.Agreed(claims.layout()));
+        } else if (message instanceof VersionMessage word) {
+            if (versions != null) versions.received(from, word);
         } else if (message instanceof CopyMessage word) {
             if (word instanceof CopyMessage.Fetch fetch && fetch.layout() != null) learn(fetch.layout());
             if (word instanceof CopyMessage.Claim claim && !from.equals(name)) modes.claimed(operation(claim.body()), claim.leaves(), now);
@@ -366,6 +380,7 @@
             keeper.become(layout, now);
         }
         claims.become(layout, now);
+        if (versions != null) versions.become(claims.layout());
     }
 
     private void carryOut() {
--- a/src/main/java/ochretiller/fleet/peers/CopyCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/CopyCodec.java
@@ -323,7 +323,7 @@
         to.writeNumber(rollout.state().ordinal());
     }
 
-    private static void version(CBORGenerator to, Rollout.Version version) throws IOException {
+    static void version(CBORGenerator to, Rollout.Version version) throws IOException {
         to.writeNumber(version.number());
         to.writeString(version.hash());
         to.writeNumber(version.size());
@@ -332,7 +332,7 @@
         to.writeString(version.why());
     }
 
-    private static Rollout.Version version(CBORParser in) throws IOException {
+    static Rollout.Version version(CBORParser in) throws IOException {
         return new Rollout.Version(Codec.number(in), Codec.text(in), Math.toIntExact(Codec.number(in)), Codec.text(in), Codec.text(in), Codec.text(in));
     }
 
--- a/src/main/java/ochretiller/fleet/peers/Fleet.java
+++ b/src/main/java/ochretiller/fleet/peers/Fleet.java
@@ -36,6 +36,7 @@
     /** Lines on changes in such a span; a fleet that flaps gets one line with the number of the rest. */
     private static final int LINES = 20;
     private static final Duration LINES_IN = Duration.ofSeconds(10);
+    private static final String NO_VERSIONS = "{\"refused\":\"no versions are brought out here\"}";
     private static final String NO_COPIES = "{\"copies\":false}";
     private static final Duration FIGURES_EVERY = Duration.ofSeconds(1);
 
@@ -46,6 +47,8 @@
     private final PeerSocket socket;
     private final Door door;
     private final Copies copies;
+    /** Null where no versions are brought out. */
+    private final Versions versions;
     /** Null where nothing is kept of who was seen. */
     private final PeersFile peersFile;
     private final Acquaintances acquaintances;
@@ -67,10 +70,11 @@
      * @param seen   told on the one thread of each other member that is there, or no longer is
      * @param longest the longest window of a token, its client timeout among it
      * @param store   where copies are kept, not started yet; null where they are kept in memory
+     * @param acts    what acts on versions, where they are brought out
      * @param leave   run once the operators' command says so
      */
     public Fleet(Schedule schedule, Network network, FleetSettings settings, String name, String build, Address serves, RandomGenerator chance,
-                 Metrics metrics, Duration longest, Store store, BiConsumer<Member, Boolean> seen, Runnable leave) throws IOException {
+                 Metrics metrics, Duration longest, Store store, BiConsumer<Member, Boolean> seen, Versions.Acts acts, Runnable leave) throws IOException {
         this.schedule = schedule;
         this.settings = settings;
         this.seen = seen;
@@ -89,6 +93,9 @@
         members.knew(former);
         copies = settings.copies() == null ? null : new Copies(schedule, settings.copies(), name, start, longest, chance, metrics,
             this::send, () -> members.view(), store);
+        boolean brings = settings.copies() != null && settings.copies().versions() != null;
+        versions = brings ? new Versions(schedule, settings.copies().versions(), name, build, settings.copies().voters(), chance, metrics, this::send, () -> members.view(), acts) : null;
+        if (brings) copies.bring(versions);
         door = new Door(codec, name, words(leave));
         network.listen("fleet", settings.listen(), door::accepted);
         changed = metrics.counter("fleet_changes_total", "Changes of state that this server has seen");
@@ -105,6 +112,9 @@
             leave.run();
             return "{\"leaves\":true}";
         });
+        words.put("version-status", with -> versions == null ? NO_VERSIONS : versions.status());
+        words.put("version-publish", with -> versions == null ? NO_VERSIONS : versions.publish(with));
+        for (String word : List.of("pause", "go-on", "take-back")) words.put("version-" + word, with -> versions == null ? NO_VERSIONS : versions.steer(word, with));
         words.put("copies-status", with -> copies == null ? NO_COPIES : copies.told().status());
         words.put("copies-show", with -> copies == null ? NO_COPIES : copies.told().show(with));
         words.put("copies-digests", with -> copies == null ? NO_COPIES : copies.told().digests());
@@ -208,6 +218,11 @@
         return copies;
     }
 
+    /** What is brought out to the fleet, or null where nothing is. */
+    public Versions versions() {
+        return versions;
+    }
+
     private void carryOut() {
         for (Send send : members.sends()) {
             InetSocketAddress to = addresses.computeIfAbsent(send.to(), each -> new InetSocketAddress(each.host(), each.port()));
--- a/src/main/java/ochretiller/fleet/peers/Sealed.java
+++ b/src/main/java/ochretiller/fleet/peers/Sealed.java
@@ -12,7 +12,7 @@
  */
 final class Sealed {
     /** Longest frame that a server reads, and longest that a command reads: a view of the largest fleet. */
-    static final int LONGEST_WORD = 1024;
+    static final int LONGEST_WORD = 64 * 1024;
     static final int LONGEST_ANSWER = 2 << 20;
     private static final int LENGTH = 4;
 
--- a/src/main/java/ochretiller/fleet/versions/Rollouts.java
+++ b/src/main/java/ochretiller/fleet/versions/Rollouts.java
@@ -17,6 +17,9 @@
     /** Part of the servers that may be behind, or refuse, and are left so: beyond it the rollout stops. */
     private static final double MOST_OUT = 0.2;
 
+    /** Times its patience that a stage may take before the rollout halts. */
+    private static final int STUCK = 4;
+
     private final Duration wait;
     private final Duration patience;
     private final boolean takesBack;
@@ -86,6 +89,12 @@
             halted = harm.get();
             return Optional.of(takesBack ? rollout.back("the fleet", text("taken back: " + halted)) : rollout.as(Rollout.State.HALTED));
         }
+        // Servers that need longer than any reason for it: it is not known what keeps them.
+        boolean stuck = now.minus(since).compareTo(patience.multipliedBy(STUCK)) >= 0 && settled == null;
+        if (stuck) {
+            halted = "its servers do not come to act on it";
+            return Optional.of(rollout.as(Rollout.State.HALTED));
+        }
         long behind = turn.stream().filter(each -> behind(reports.get(each), rollout.to())).count();
         boolean enough = behind == 0 || now.minus(since).compareTo(patience) >= 0 && behind <= MOST_OUT * turn.size();
         if (turn.isEmpty() || !enough) return Optional.empty();
--- a/src/main/java/ochretiller/front/Callers.java
+++ b/src/main/java/ochretiller/front/Callers.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import ochretiller.model.InvId;
 import ochretiller.net.CloseCode;
@@ -40,6 +41,7 @@
     private int openTries;
     private Duration idleAfter;
     private boolean leaving;
+    private BiConsumer<Try, Ending> ends = (inv, how) -> { };
 
     /**
      * No connection yet.
@@ -58,6 +60,11 @@
         schedule.after(SWEEP, this::sweep);
     }
 
+    /** Told of each answer that is given, once. */
+    public void ends(BiConsumer<Try, Ending> listener) {
+        ends = listener;
+    }
+
     Duration now() {
         return schedule.now();
     }
@@ -172,18 +179,21 @@
     public void succeed(Try inv, byte[] result, boolean replayed) {
         if (!settle(inv)) return;
         inv.peer.succeeds(inv, result, replayed);
+        ends.accept(inv, replayed ? Ending.REPLAYED : Ending.SUCCEEDED);
         answered(inv);
     }
 
     public void throttle(Try inv, Duration retryIn, boolean last) {
         if (!settle(inv)) return;
         inv.peer.throttles(inv, retryIn, last);
+        ends.accept(inv, Ending.THROTTLED);
         answered(inv);
     }
 
     public void fail(Try inv, Failure why) {
         if (!settle(inv)) return;
         inv.peer.fails(inv, why);
+        ends.accept(inv, Ending.ERRORED);
         answered(inv);
     }
 
--- a/src/main/java/ochretiller/front/Try.java
+++ b/src/main/java/ochretiller/front/Try.java
@@ -24,6 +24,7 @@
     final Peer peer;
     private boolean answered;
     private boolean running;
+    private long version;
 
     /** What was read; token or object are kept only where the operation has a use for them. */
     public Try(InvId id, String rid, Operation operation, double kb, long caller, Duration arrived, String token, String object,
@@ -53,6 +54,15 @@
         running = now;
     }
 
+    /** The version of what the fleet's servers act on that it is bound to, from its reading to its end; 0 where there is none. */
+    public long version() {
+        return version;
+    }
+
+    public void bind(long to) {
+        version = to;
+    }
+
     void settle() {
         answered = true;
     }
--- a/src/main/java/ochretiller/net/Schedule.java
+++ b/src/main/java/ochretiller/net/Schedule.java
@@ -7,6 +7,11 @@
     /** Time since the start, the same all through one gathering. */
     Duration now();
 
+    /** The time of this very moment, for what must be looked at last: {@link #now} is that of the gathering. */
+    default Duration exact() {
+        return now();
+    }
+
     /** From any thread: {@code work} runs in the next gathering. */
     void post(Runnable work);
 
--- a/src/main/java/ochretiller/node/Host.java
+++ b/src/main/java/ochretiller/node/Host.java
@@ -13,6 +13,7 @@
 import ochretiller.fleet.copies.ClaimId;
 import ochretiller.fleet.copies.Verdict;
 import ochretiller.fleet.peers.Copies;
+import ochretiller.fleet.peers.Versions;
 import ochretiller.front.Callers;
 import ochretiller.front.Failure;
 import ochretiller.front.Try;
@@ -59,6 +60,8 @@
     private final Recall recall;
     /** Null where each server knows of its own runs alone. */
     private final Copies copies;
+    /** Null where each server acts on its own files. */
+    private final Versions versions;
     /** Claims of the runs that were begun here, as the fleet knows them. */
     private final Map<InvId, ClaimId> claimed = new HashMap<>();
     /** Runs of a former process whose ends are unknown, by the name that they bear on the link. */
@@ -75,9 +78,10 @@
      * @param workers what carries out runs of operations that have a pool, or null
      * @param recall what outlives a restart, or null
      * @param copies what the fleet keeps of claims and results, or null
+     * @param versions what the fleet brings out, or null
      */
     Host(Schedule schedule, Duration shift, Choice choice, Callers callers, Health health, Keys keys, Link link,
-         Workers workers, Records records, Recall recall, Copies copies) {
+         Workers workers, Records records, Recall recall, Copies copies, Versions versions) {
         this.schedule = schedule;
         this.shift = shift;
         this.choice = choice;
@@ -89,6 +93,7 @@
         this.records = records;
         this.recall = recall;
         this.copies = copies;
+        this.versions = versions;
     }
 
     void start() {
@@ -211,18 +216,34 @@
             then.apply(new RunEnd(RunEnd.Result.NOT_BEGUN, Duration.ZERO)).act(this);
             settle(inv);
         };
-        if (copies != null && inv.operation.tokened()) claim(inv, () -> mark(inv, then, not), not);
+        if (shutOut(inv)) schedule.post(not); // the decisions are still at work on what it is run for
+        else if (copies != null && inv.operation.tokened()) claim(inv, () -> mark(inv, then, not), not);
         else mark(inv, then, not);
     }
 
     private void mark(Try inv, Function<RunEnd, Step> then, Runnable not) {
-        if (recall == null) begin(inv, then);
-        else recall.mark(inv, () -> begin(inv, then), () -> {
+        Runnable begins = () -> {
+            // Looked at last: a server that slept through the end of its lease, or through a version, acts on nothing old.
+            if (!shutOut(inv)) {
+                begin(inv, then);
+                return;
+            }
+            if (recall != null) recall.ended(inv, RunEnd.Result.NOT_BEGUN, null, () -> { });
+            if (copies != null) neverRan(inv);
+            not.run();
+        };
+        if (recall == null) begins.run();
+        else recall.mark(inv, begins, () -> {
             if (copies != null) neverRan(inv);
             not.run();
         });
     }
 
+    /** Whether keyed work has no place here now: the voters have not let this server go on. */
+    private boolean shutOut(Try inv) {
+        return versions != null && inv.operation.tokened() && !versions.may();
+    }
+
     // ---- what the fleet knows of a token
 
     private static String body(Try inv) {
--- a/src/main/java/ochretiller/node/Loop.java
+++ b/src/main/java/ochretiller/node/Loop.java
@@ -32,6 +32,11 @@
         return now;
     }
 
+    @Override
+    public Duration exact() {
+        return Duration.ofNanos(System.nanoTime() - startedAt);
+    }
+
     @Override
     public void post(Runnable work) {
         ready.add(work);
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -2,21 +2,27 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
-import ochretiller.policy.Choice;
+import java.util.stream.Collectors;
+import ochretiller.fleet.epochs.Rollout;
 import ochretiller.fleet.members.Address;
 import ochretiller.fleet.peers.Fleet;
 import ochretiller.fleet.peers.FleetSettings;
+import ochretiller.fleet.peers.Versions;
+import ochretiller.fleet.versions.Counts;
 import ochretiller.front.Callers;
+import ochretiller.front.Ending;
 import ochretiller.front.Failure;
 import ochretiller.front.Try;
 import ochretiller.gateway.Gateway;
@@ -27,7 +33,9 @@
 import ochretiller.model.Operation;
 import ochretiller.net.Network;
 import ochretiller.operator.Operator;
+import ochretiller.operator.OperatorFile;
 import ochretiller.paths.PathPattern;
+import ochretiller.policy.Choice;
 import ochretiller.processor.Link;
 import ochretiller.records.Records;
 import ochretiller.remembered.Mark;
@@ -130,6 +138,7 @@
         }
         fleet = operator.fleet().isEmpty() ? null : fleet(operator.fleet().get());
         if (fleet != null && fleet.copies() != null && recall != null) fleet.copies().remembers(recall);
+        if (fleet != null && fleet.versions() != null) callers.ends(this::answered);
     }
 
     /** No mark lives longer: the longest window of an operation and its client timeout, once for each end. */
@@ -146,7 +155,7 @@
             new Address(at.getAddress().getHostAddress(), at.getPort()), new SplittableRandom(configuration.seed() + 2), metrics, longest(),
             recall == null ? null : recall.store(), (member, there) -> {
                 if (workers != null && member.serves() != null) workers.seen(member.serves().toString(), there);
-            }, () -> new Thread(() -> System.exit(0), "leave").start()); // the hook that a signal would run drains
+            }, new Acting(), () -> new Thread(() -> System.exit(0), "leave").start()); // the hook that a signal would run drains
     }
 
     /** Holds what the operators say of copies against the server's name and operations. */
@@ -258,7 +267,7 @@
         Keys keys = new Keys(memory() / KEYS_PART,
             configuration.settings().span("familyInfo.freshNs", Duration.ZERO));
         host = new Host(loop, age.minus(loop.now()), choice, callers, health, keys, link, workers, records, recall,
-            fleet == null ? null : fleet.copies());
+            fleet == null ? null : fleet.copies(), fleet == null ? null : fleet.versions());
         host.start();
         if (recall != null) host.restore(configuration.operations(), age);
         if (leaving) host.leave(Duration.ZERO);
@@ -274,12 +283,62 @@
     }
 
     private void arrived(Try inv) {
+        if (fleet != null && fleet.versions() != null) inv.bind(fleet.versions().acting());
         Mark mark = host != null || recall == null ? null : recall.restored(inv.token);
         if (host != null) host.arrived(inv);
         else if (mark == null) callers.throttle(inv, Duration.ZERO, false); // without a processor nothing can have run
         else repeatBefore(inv, mark);
     }
 
+    /** What became of it counts for the version that it was read under. */
+    private void answered(Try inv, Ending how) {
+        boolean good = how == Ending.SUCCEEDED || how == Ending.REPLAYED;
+        boolean late = good && loop.now().minus(inv.arrived).compareTo(inv.operation.objective()) > 0;
+        double value = inv.operation.value();
+        fleet.versions().count(inv.version(), new Counts(1, how == Ending.THROTTLED ? 1 : 0, how == Ending.ERRORED ? 1 : 0, late ? 1 : 0,
+            !good ? 0 : late ? value * inv.operation.lateShare() : value, value));
+    }
+
+    /** What acts on versions here: the pools. */
+    private final class Acting implements Versions.Acts {
+        private List<Plan> plans(byte[] version) {
+            Operator told = version == null ? operatorNow.get() : operator.with(OperatorFile.version(new String(version, StandardCharsets.UTF_8), "the version"));
+            List<Plan> plans = Node.plans(told, configuration);
+            Set<String> here = operator.pools().stream().map(Operator.Workers::name).collect(Collectors.toSet());
+            Set<String> there = plans.stream().map(Plan::name).collect(Collectors.toSet());
+            if (!here.equals(there)) throw new MalformedException("it has the pools " + there + ", and this server was started with " + here);
+            return plans;
+        }
+
+        @Override
+        public String check(byte[] version) {
+            try {
+                plans(version);
+                return null;
+            } catch (MalformedException e) {
+                return e.getMessage();
+            }
+        }
+
+        @Override
+        public String become(byte[] version) {
+            List<Plan> plans;
+            try {
+                plans = plans(version);
+            } catch (MalformedException e) {
+                return e.getMessage();
+            }
+            // In the next gathering: it is acted on as a whole between two.
+            if (workers != null) loop.post(() -> workers.become(plans));
+            return null;
+        }
+
+        @Override
+        public void told(Versions.What what, Rollout.Version version, String text) {
+            LOG.fine(() -> "fleet: " + what + " version " + version.number() + ' ' + text);
+        }
+    }
+
     /** A repeat of what a former process has run, before the processor is there: it is never throttled. */
     private void repeatBefore(Try inv, Mark mark) {
         if (!mark.operation().equals(inv.operation.name()) || !mark.sameBody(Keys.hash(inv.body))) {
--- a/src/main/java/ochretiller/operator/Operator.java
+++ b/src/main/java/ochretiller/operator/Operator.java
@@ -25,6 +25,11 @@
     public static final Operator NONE = new Operator(false, Optional.empty(), Optional.empty(), Optional.empty(), List.of(),
         Optional.empty(), Drill.NONE);
 
+    /** The same with other pools. */
+    public Operator with(List<Workers> others) {
+        return new Operator(jsonLog, metrics, remember, uwsgi, others, fleet, drill);
+    }
+
     /**
      * What drills put on a machine and its disk.
      *
--- a/src/main/java/ochretiller/operator/OperatorFile.java
+++ b/src/main/java/ochretiller/operator/OperatorFile.java
@@ -17,6 +17,7 @@
 import ochretiller.fleet.members.Pace;
 import ochretiller.fleet.peers.CopySettings;
 import ochretiller.fleet.peers.FleetSettings;
+import ochretiller.fleet.peers.VersionSettings;
 import ochretiller.json5.Json5;
 import ochretiller.pools.PoolSettings;
 import ochretiller.settings.MalformedException;
@@ -101,7 +102,21 @@
         if (new HashSet<>(voters).size() < voters.size()) throw new MalformedException("fleet: a voter is named twice");
         return new CopySettings(List.copyOf(voters), node.has("voter_file") ? Path.of(node.get("voter_file").asText()) : null, node.path("factor").asInt(3),
             node.path("most_entries").asInt(20_000), node.path("most_mb").asLong(16) << 20, millis(node, "calm_ms", 5_000),
-            node.path("catch_up_kb_per_s").asLong(2_048) << 10, modes(node));
+            node.path("catch_up_kb_per_s").asLong(2_048) << 10, modes(node), node.has("versions") ? versions(node.get("versions")) : null);
+    }
+
+    private static VersionSettings versions(JsonNode node) {
+        return new VersionSettings(Path.of(node.get("folder").asText()), millis(node, "lease_ms", 10_000), millis(node, "grace_ms", 30_000), millis(node, "watch_ms", 60_000),
+            millis(node, "patience_ms", 30_000), node.path("on_harm").asText("take-back").equals("take-back"));
+    }
+
+    /** What a fleet brings out as a version: the pools of an operators' file, and nothing else. */
+    public static List<Operator.Workers> version(String text, String name) {
+        Operator operator = of(text, name);
+        boolean more = operator.metrics().isPresent() || operator.remember().isPresent() || operator.uwsgi().isPresent() || operator.fleet().isPresent()
+            || operator.jsonLog() || operator.pools().isEmpty();
+        if (more) throw new MalformedException(name + ": a version has pools, and nothing else");
+        return operator.pools();
     }
 
     private static Modes.Told modes(JsonNode node) {
--- a/src/test/java/ochretiller/fleet/versions/RolloutsTest.java
+++ b/src/test/java/ochretiller/fleet/versions/RolloutsTest.java
@@ -138,6 +138,15 @@
         }
     }
 
+    @Test
+    void oneThatNobodyComesToActOnHalts() {
+        Layout layout = fleet(6, second(0));
+        for (String each : names(layout)) rollouts.told(each, acts(ONE, Counts.NONE, Counts.NONE));
+        rollouts.next(layout, names(layout), now);
+        assertThat(rollouts.next(layout, names(layout), now.plusSeconds(100))).isEmpty();
+        assertThat(rollouts.next(layout, names(layout), now.plusSeconds(121)).orElseThrow().state()).isEqualTo(Rollout.State.HALTED);
+    }
+
     @Test
     void oneThatIsPausedWaitsForAPerson() {
         Layout layout = fleet(6, second(0).as(Rollout.State.PAUSED));
