Keep an audit of what each server acts on; ask silent keepers without a caller

Change: `audit` of the operators' file: spans by version, events and runs of tokens in files chained by hashes, written by a thread that nothing waits for; voters write down where the others' audits end. `audit verify|who|when|token|gaps|behind|chart`. Silent keepers are asked by a look of its own. The test that halts looks for large differences first: a stage of a few seconds was over before it could say.

Tried and undone: a first epoch of all servers at once; their keepers waited for one another for 18 s.

--- a/drill/src/main/java/ochretiller/drill/VersionSteps.java
+++ b/drill/src/main/java/ochretiller/drill/VersionSteps.java
@@ -6,10 +6,12 @@
 import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -18,6 +20,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import ochretiller.audit.Chain;
+import ochretiller.audit.Entry;
+import ochretiller.audit.Timeline;
+import ochretiller.audit.files.AuditFolder;
 import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.FleetScriptFile;
 import ochretiller.standin.Daemon;
@@ -35,6 +41,10 @@
     private static final long LOOK_MS = 50;
     /** Reads a second at each server meanwhile. */
     private static final int READS = 40;
+    /** Every so many is a keyed order. */
+    private static final int ORDERS = 8;
+    /** A run in the last moments of a process that was killed may not have come to its disk. */
+    private static final int LOST = 12;
 
     private final Stage stage;
     private final Consumer<String> progress;
@@ -67,6 +77,7 @@
         itsPublisherIsKilled();
         harmIsTakenBack();
         over = true;
+        audits();
         return broken;
     }
 
@@ -80,11 +91,15 @@
                 try (Wire wire = new Wire(new Socket(InetAddress.getLoopbackAddress(), box.serves))) {
                     while (!over && box.up && !box.paused) {
                         int number = numbers.incrementAndGet();
-                        wire.send(Gateways.message(number, "read", Gateways.params(String.format("%016x", number), null, "r" + number)));
+                        boolean order = number % ORDERS == 0;
+                        String token = order ? String.format(Locale.ROOT, "%032x", 5_000_000 + number) : null;
+                        wire.send(Gateways.message(number, order ? "order" : "read", Gateways.params(String.format("%016x", number), token, order ? token : "r" + number)));
                         String line = wire.line();
                         if (line == null) break;
-                        reads.incrementAndGet();
-                        if (line.contains("\"result\"")) good.incrementAndGet();
+                        if (!order) {
+                            reads.incrementAndGet();
+                            if (line.contains("\"result\"")) good.incrementAndGet();
+                        }
                         Thread.sleep(1000 / READS);
                     }
                 } catch (IOException e) {
@@ -155,6 +170,44 @@
         need(good.get() - goodBefore > asked / 2, "most reads were lost meanwhile");
     }
 
+    /** All audits together tell of each run that the stand-ins saw, and each of them is whole. */
+    private void audits() throws Exception {
+        step("audits held against what was run");
+        for (int slot = 1; slot <= SERVERS; slot++) stage.box(slot).leave();
+        Map<String, List<Chain.Head>> known = new HashMap<>();
+        Map<String, AuditFolder.Found> found = new TreeMap<>();
+        for (int slot = 1; slot <= SERVERS; slot++) {
+            stage.box(slot).awaitEnd();
+            for (Entry entry : AuditFolder.read(stage.box(slot).audit(), List.of()).entries()) {
+                if (!(entry instanceof Entry.Event event) || event.kind() != Entry.Kind.WITNESSED) continue;
+                String[] words = event.text().split(" ");
+                known.computeIfAbsent(words[0], ignored -> new ArrayList<>()).add(new Chain.Head(Long.parseLong(words[1]), words[2]));
+            }
+        }
+        Timeline line = new Timeline();
+        for (int slot = 1; slot <= SERVERS; slot++) {
+            String name = "m" + slot;
+            AuditFolder.Found each = AuditFolder.read(stage.box(slot).audit(), known.getOrDefault(name, List.of()));
+            found.put(name, each);
+            line.add(name, each.entries());
+            need(each.faults().isEmpty(), "the audit of " + name + ": " + each.faults());
+            need(!known.getOrDefault(name, List.of()).isEmpty(), "nobody knows where the audit of " + name + " ends");
+        }
+        int missing = 0;
+        for (Map.Entry<String, Integer> each : runs.entrySet()) {
+            int told = line.token(each.getKey()).size();
+            if (told > each.getValue()) broken.add("the audits tell of more runs than there were of " + each.getKey());
+            if (told < each.getValue()) missing++;
+        }
+        need(missing <= LOST, missing + " of " + runs.size() + " runs are in no audit");
+        need(runs.size() > 50, "too few runs to tell anything: " + runs.size());
+        long from = found.values().stream().flatMap(each -> each.entries().stream()).mapToLong(Entry::fromMs).min().orElse(0);
+        long until = found.values().stream().flatMap(each -> each.entries().stream()).mapToLong(Entry::toMs).max().orElse(0);
+        need(line.behind(from, until).getOrDefault("m4", 0L) > 0, "it is not told that m4 was behind");
+        need(line.between(from, until).stream().anyMatch(each -> each.server().equals("m1") && each.known() == Timeline.Known.UNKNOWN), "it is not told that m1 was away");
+        progress.accept(runs.size() + " runs, " + missing + " of them in no audit; " + found.values().stream().mapToInt(each -> each.links().size()).sum() + " records");
+    }
+
     // ---- what they are made of
 
     private void step(String name) {
--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Callable;
 import java.util.function.Supplier;
 import ochretiller.commands.ContractCommand;
+import ochretiller.commands.AuditCommand;
 import ochretiller.commands.CopiesCommand;
 import ochretiller.commands.FleetCommand;
 import ochretiller.commands.StoreCommand;
@@ -28,7 +29,7 @@
 /** The program's entry: hands over to the part that the first word names. */
 @Command(name = "ochretiller", description = "Admission and scheduling for servers behind other people's balancers.",
     mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-    subcommands = {StoreCommand.class, TryCommand.class, ContractCommand.class, FleetCommand.class, CopiesCommand.class})
+    subcommands = {StoreCommand.class, TryCommand.class, ContractCommand.class, FleetCommand.class, CopiesCommand.class, AuditCommand.class})
 public final class Main implements Runnable {
     private static final int FAILED = 1;
     private static final int WRONG = 2;
--- a/src/main/java/ochretiller/audit/Chain.java
+++ b/src/main/java/ochretiller/audit/Chain.java
@@ -56,6 +56,11 @@
         return link == null ? fresh() : new Chain(link.number, link.hash);
     }
 
+    /** One that goes on where this one ends, and leaves it as it is. */
+    public static Chain at(Chain other) {
+        return new Chain(other.number, other.last);
+    }
+
     /** The next record. */
     public Link append(byte[] body) {
         Link link = new Link(number + 1, last, hash(number + 1, last, body), body);
--- a/src/main/java/ochretiller/audit/Entry.java
+++ b/src/main/java/ochretiller/audit/Entry.java
@@ -112,6 +112,8 @@
         /** Some of the audit could not be written: what is missing is not known. */
         LOST,
         /** The process ended as it should. */
-        ENDED
+        ENDED,
+        /** Where another's audit ended when this server last heard: its name, the number of its last record, that record's hash. */
+        WITNESSED
     }
 }
--- /dev/null
+++ b/src/main/java/ochretiller/audit/files/AuditWriter.java
@@ -0,0 +1,182 @@
+package ochretiller.audit.files;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+import ochretiller.audit.Chain;
+import ochretiller.audit.Entry;
+
+/**
+ * Writes a server's audit, on a thread of its own: what is handed over never waits for the disk. What the disk does not take, or comes
+ * faster than it takes, is lost, and a record says how much as soon as one can be written.
+ */
+public final class AuditWriter {
+    private static final Logger LOG = Logger.getLogger(AuditWriter.class.getName());
+    /** Records that wait for the disk. */
+    private static final int WAITING = 20_000;
+    /** Records of one force: fewer than make a file. */
+    private static final int GROUP = 200;
+    private static final int PAUSE_MS = 200;
+    /** Files that the bytes are spread over: the oldest goes as a whole. */
+    private static final int FILES = 16;
+
+    private final Path folder;
+    private final long fileBytes;
+    private final BlockingQueue<Entry> waiting = new ArrayBlockingQueue<>(WAITING);
+    private final Thread thread = new Thread(this::work, "audit");
+    private final java.util.function.LongSupplier unixMs;
+    private Chain chain;
+    private FileChannel file;
+    private long size;
+    private boolean sick;
+    private volatile boolean over;
+    private volatile long lost;
+    private volatile long written;
+    private volatile Chain.Head head;
+    private final List<Chain.Fault> faults;
+
+    /**
+     * Goes on behind what is there; a record that a crash has cut in two is taken off.
+     *
+     * @param mostBytes of all files together
+     */
+    public AuditWriter(Path folder, long mostBytes, java.util.function.LongSupplier unixMs) throws IOException {
+        this.folder = Files.createDirectories(folder);
+        this.fileBytes = Math.max(64 * 1024, mostBytes / FILES);
+        this.unixMs = unixMs;
+        AuditFolder.Found found = AuditFolder.read(folder, List.of());
+        faults = found.faults();
+        List<Chain.Link> links = found.links();
+        chain = Chain.behind(links.isEmpty() ? null : links.get(links.size() - 1));
+        head = chain.head();
+        List<Path> files = AuditFolder.files(folder);
+        if (!files.isEmpty()) {
+            file = FileChannel.open(files.get(files.size() - 1), StandardOpenOption.WRITE);
+            file.truncate(found.lastEnd());
+            size = found.lastEnd();
+            file.position(size);
+        }
+        thread.setDaemon(true);
+    }
+
+    /** What was wrong with what was there. */
+    public List<Chain.Fault> faults() {
+        return faults;
+    }
+
+    public void start() {
+        thread.start();
+    }
+
+    /** Handed over, or counted as lost. */
+    public void add(Entry entry) {
+        if (!waiting.offer(entry)) lost++;
+    }
+
+    /** Where the chain on the disk ends. */
+    public Chain.Head head() {
+        return head;
+    }
+
+    public long lost() {
+        return lost;
+    }
+
+    public long written() {
+        return written;
+    }
+
+    public int waiting() {
+        return waiting.size();
+    }
+
+    private void work() {
+        List<Entry> group = new ArrayList<>();
+        long told = 0;
+        while (true) {
+            try {
+                Entry first = waiting.poll(PAUSE_MS, TimeUnit.MILLISECONDS);
+                if (first == null && over) break;
+                if (first != null) group.add(first);
+                waiting.drainTo(group, GROUP - group.size());
+                if (lost > told && !group.isEmpty()) {
+                    group.add(0, new Entry.Event(Entry.Kind.LOST, 0, unixMs.getAsLong(), (lost - told) + " records that the disk did not take"));
+                }
+                if (group.isEmpty()) continue;
+                long losses = lost;
+                if (write(group)) told = losses;
+                else lost += group.stream().filter(each -> !(each instanceof Entry.Event event && event.kind() == Entry.Kind.LOST)).count();
+                group.clear();
+                // Others gather meanwhile, and go out with one force.
+                if (sick || waiting.size() < GROUP && !over) Thread.sleep(sick ? 5 * PAUSE_MS : PAUSE_MS / 4);
+            } catch (InterruptedException e) {
+                LOG.warning("the audit's thread is interrupted, and goes on");
+            }
+        }
+        try {
+            if (file != null) file.close();
+        } catch (IOException e) {
+            LOG.warning("the audit cannot be closed: " + e.getMessage());
+        }
+    }
+
+    private boolean write(List<Entry> group) {
+        Chain next = Chain.at(chain);
+        try {
+            if (file == null || size >= fileBytes) roll();
+            long before = size;
+            try {
+                for (Entry each : group) {
+                    ByteBuffer bytes = ByteBuffer.wrap(AuditFolder.frame(next.append(AuditCodec.bytes(each))));
+                    size += bytes.remaining();
+                    while (bytes.hasRemaining()) file.write(bytes);
+                }
+                file.force(false);
+            } catch (IOException e) {
+                // Some of it may be there: it is taken off, or the next one would stand behind half a record.
+                size = before;
+                file.truncate(before);
+                file.position(before);
+                throw e;
+            }
+            chain = next;
+            head = chain.head();
+            written += group.size();
+            if (sick) LOG.info("the audit's disk takes records again");
+            sick = false;
+            return true;
+        } catch (IOException e) {
+            if (!sick) LOG.warning("the audit's disk does not take records: " + e.getMessage());
+            sick = true;
+            return false;
+        }
+    }
+
+    private void roll() throws IOException {
+        if (file != null) file.close();
+        file = FileChannel.open(folder.resolve(String.format("%s%019d%s", AuditFolder.PREFIX, chain.head().number() + 1, AuditFolder.SUFFIX)),
+            StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING);
+        size = 0;
+        List<Path> files = AuditFolder.files(folder);
+        for (int i = 0; i < files.size() - FILES; i++) Files.deleteIfExists(files.get(i));
+    }
+
+    /** What was handed over is written; returns once it is, or within a bounded time. */
+    public void close() {
+        over = true;
+        try {
+            thread.join(2_000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/ochretiller/fleet/copies/ClaimLimit.java
+++ b/src/main/java/ochretiller/fleet/copies/ClaimLimit.java
@@ -10,7 +10,7 @@
     private static final int FIRST = 32;
     private static final int LEAST = 2;
     private static final int MOST = 4096;
-    /** How often a claim goes out although most of its keepers are silent. */
+    /** How often keepers that are silent are asked whether they are back. */
     private static final Duration PROBE = Duration.ofMillis(200);
 
     private double limit = FIRST;
@@ -49,7 +49,7 @@
         return silence.silent(keeper);
     }
 
-    /** Whether a claim may go out although most of its keepers are silent: now and then one, to hear when they are back. */
+    /** Whether to ask silent keepers now: one question each while, to hear when they are back. */
     boolean probe(Duration now) {
         if (now.minus(probed).compareTo(PROBE) < 0) return false;
         probed = now;
--- a/src/main/java/ochretiller/fleet/copies/Claims.java
+++ b/src/main/java/ochretiller/fleet/copies/Claims.java
@@ -219,7 +219,12 @@
         long silent = keepers.stream().filter(limit::silent).count();
         boolean hopeless = keepers.isEmpty() || keepers.size() - silent < Layout.majority(keepers.size());
         // What cannot be claimed is throttled at once, before it waits for anybody.
-        if (!limit.room() || attempts.size() >= MOST || hopeless && !limit.probe(now)) {
+        if (hopeless && limit.probe(now)) {
+            // Whether they are back is asked for by itself: no caller waits for that.
+            ClaimId probe = new ClaimId(name, start, ++runs);
+            for (String keeper : keepers) if (limit.silent(keeper)) send(keeper, new CopyMessage.Look(layout.epoch(), token, probe));
+        }
+        if (!limit.room() || attempts.size() >= MOST || hopeless) {
             then.accept(new Verdict(Verdict.What.THROTTLED, null, null));
             return;
         }
--- a/src/main/java/ochretiller/fleet/peers/VersionCodec.java
+++ b/src/main/java/ochretiller/fleet/peers/VersionCodec.java
@@ -37,6 +37,8 @@
             to.writeNumber(m.report().about());
             counts(to, m.report().on());
             counts(to, m.report().before());
+            to.writeNumber(m.audited());
+            to.writeString(m.auditHash());
         } else if (message instanceof VersionMessage.Renewed m) {
             to.writeNumber(m.question());
             to.writeBoolean(m.may());
@@ -60,7 +62,7 @@
         Codec.start(in);
         VersionMessage message = switch (kind - FIRST) {
             case 0 -> new VersionMessage.Tell(Codec.number(in),
-                new Report(Codec.number(in), Codec.text(in), Codec.number(in), Codec.text(in), Codec.number(in), counts(in), counts(in)));
+                new Report(Codec.number(in), Codec.text(in), Codec.number(in), Codec.text(in), Codec.number(in), counts(in), counts(in)), Codec.number(in), Codec.text(in));
             case 1 -> new VersionMessage.Renewed(Codec.number(in), Codec.bool(in));
             case 2 -> new VersionMessage.WantBytes(Codec.text(in), Math.toIntExact(Codec.number(in)));
             case 3 -> new VersionMessage.Bytes(Codec.text(in), Math.toIntExact(Codec.number(in)), bytes(in));
--- a/src/main/java/ochretiller/fleet/peers/Versions.java
+++ b/src/main/java/ochretiller/fleet/peers/Versions.java
@@ -25,6 +25,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import java.util.random.RandomGenerator;
+import ochretiller.audit.Chain;
 import ochretiller.bounds.Bounded;
 import ochretiller.fleet.epochs.Layout;
 import ochretiller.fleet.epochs.Rollout;
@@ -52,6 +53,9 @@
     private static final int WRITES = 16;
     /** A person's word that is not agreed on by then is forgotten: it has to be said again. */
     private static final Duration WISHES = Duration.ofSeconds(10);
+    /** Between two looks at where another's audit ends. */
+    private static final Duration WITNESSES = Duration.ofSeconds(10);
+    private static final int MOST_WITNESSED = 4_096;
     private static final String SUFFIX = ".version";
 
     private final Schedule schedule;
@@ -79,6 +83,7 @@
     private Rollout wished;
     /** A version that was published here, as long as a majority of voters does not have its bytes. */
     private Rollout offered;
+    private final Map<String, Duration> witnessed = Bounded.byUse(MOST_WITNESSED);
     private final Set<String> have = new HashSet<>();
     /** Bytes that another voter offers, and who that is. */
     private final Gather taken;
@@ -98,12 +103,15 @@
         /** From the next gathering on all of it is acted on; the files of this server's own where that is null. A fault: none of it is. */
         String become(byte[] version);
 
+        /** Where this server's audit ends, or none. */
+        Chain.Head audited();
+
         /** Something happened that is to be remembered. */
         void told(What what, Rollout.Version version, String text);
     }
 
     /** What happened. */
-    public enum What { CHANGED, REFUSED, SHUT_OUT, LET_IN, PUBLISHED, ROLLOUT }
+    public enum What { CHANGED, REFUSED, SHUT_OUT, LET_IN, PUBLISHED, ROLLOUT, WITNESSED }
 
     Versions(Schedule schedule, VersionSettings settings, String name, String build, List<String> voters, RandomGenerator chance, Metrics metrics,
              BiConsumer<String, Object> send, Supplier<List<Seen>> view, Acts acts) {
@@ -286,7 +294,7 @@
         spoken = now.minus(Duration.ofNanos((long) (SPEAK.toNanos() / 4 * chance.nextDouble())));
         leaseLeft = Math.max(0, lease.ends().minus(now).toNanos() / 1e9);
         if (offered != null) offer();
-        VersionMessage.Tell tell = new VersionMessage.Tell(lease.ask(now), report());
+        VersionMessage.Tell tell = new VersionMessage.Tell(lease.ask(now), report(), acts.audited().number(), acts.audited().hash());
         for (String each : voters) {
             if (each.equals(name)) received(name, tell);
             else send.accept(each, tell);
@@ -321,6 +329,7 @@
         Duration now = schedule.now();
         if (message instanceof VersionMessage.Tell tell) {
             if (!voters.contains(name)) return;
+            witness(from, tell, now);
             rollouts.told(from, tell.report());
             reports.put(from, tell.report());
             boolean may = doorkeeper.renews(layout, from, reports, now);
@@ -359,6 +368,14 @@
         }
     }
 
+    /** What each voter knows of the others' audits is in its own: a lost tail, or one that was written anew, is seen by that. */
+    private void witness(String from, VersionMessage.Tell tell, Duration now) {
+        Duration last = witnessed.get(from);
+        if (tell.audited() == 0 || from.equals(name) || last != null && now.minus(last).compareTo(WITNESSES) < 0) return;
+        witnessed.put(from, now);
+        acts.told(What.WITNESSED, acting, from + ' ' + tell.audited() + ' ' + tell.auditHash());
+    }
+
     private void take(Duration now) {
         if (offeredBy != null) for (Gather.Ask ask : taken.tick(List.of(offeredBy), now)) send.accept(ask.to(), ask.message());
     }
--- a/src/main/java/ochretiller/fleet/versions/VersionMessage.java
+++ b/src/main/java/ochretiller/fleet/versions/VersionMessage.java
@@ -4,8 +4,16 @@
 
 /** What is said about versions, from one server to another. */
 public sealed interface VersionMessage {
-    /** To each voter: what I act on; may I go on? */
-    record Tell(long question, Report report) implements VersionMessage {
+    /**
+     * To each voter: what I act on; may I go on?
+     *
+     * @param audited   number of the last record of this server's audit, or 0
+     * @param auditHash of that
+     */
+    record Tell(long question, Report report, long audited, String auditHash) implements VersionMessage {
+        public Tell {
+            if (audited < 0 || auditHash.length() != (audited == 0 ? 0 : 64)) throw new IllegalArgumentException("no audit");
+        }
     }
 
     /** A voter's answer. */
--- a/src/main/java/ochretiller/fleet/versions/Watch.java
+++ b/src/main/java/ochretiller/fleet/versions/Watch.java
@@ -12,7 +12,7 @@
     public static final double FALSE_ALARM = 0.01;
     private static final int FIGURES = 4;
     /** Difference of shares that is looked for first of all: the mixture's spread. */
-    private static final double LOOKED_FOR = 0.05;
+    private static final double LOOKED_FOR = 0.2;
     /** A difference that is less is none to act on. */
     private static final double LEAST = 0.01;
     /** Answers on either side that are too few for a share. */
--- a/src/main/java/ochretiller/node/Host.java
+++ b/src/main/java/ochretiller/node/Host.java
@@ -62,6 +62,8 @@
     private final Copies copies;
     /** Null where each server acts on its own files. */
     private final Versions versions;
+    /** Told of each run that is begun. */
+    private final Consumer<Try> begun;
     /** Claims of the runs that were begun here, as the fleet knows them. */
     private final Map<InvId, ClaimId> claimed = new HashMap<>();
     /** Runs of a former process whose ends are unknown, by the name that they bear on the link. */
@@ -79,9 +81,10 @@
      * @param recall what outlives a restart, or null
      * @param copies what the fleet keeps of claims and results, or null
      * @param versions what the fleet brings out, or null
+     * @param begun    told of each run that is begun
      */
     Host(Schedule schedule, Duration shift, Choice choice, Callers callers, Health health, Keys keys, Link link,
-         Workers workers, Records records, Recall recall, Copies copies, Versions versions) {
+         Workers workers, Records records, Recall recall, Copies copies, Versions versions, Consumer<Try> begun) {
         this.schedule = schedule;
         this.shift = shift;
         this.choice = choice;
@@ -94,6 +97,7 @@
         this.recall = recall;
         this.copies = copies;
         this.versions = versions;
+        this.begun = begun;
     }
 
     void start() {
@@ -304,6 +308,7 @@
 
     private void begin(Try inv, Function<RunEnd, Step> then) {
         InvId id = inv.id;
+        begun.accept(inv);
         Task task = new Task(inv.rid, inv.operation.name(), inv.body, inv.operation.idempotent(), inv.token,
             inv.arrived.plus(inv.operation.clientTimeout()));
         backend(inv.operation).begin(task, (end, took, result) -> {
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -15,6 +15,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
+import ochretiller.audit.Chain;
 import ochretiller.fleet.epochs.Rollout;
 import ochretiller.fleet.members.Address;
 import ochretiller.fleet.peers.Fleet;
@@ -94,6 +95,8 @@
     private final Fleet fleet;
     /** Repeats of what a former process has left, read before the processor was there. */
     private final List<Try> early = new ArrayList<>();
+    /** Null where nothing is kept of what was acted on. */
+    private final Auditor auditor;
     private Host host;
     private boolean leaving;
 
@@ -136,9 +139,10 @@
         } else {
             recall = null;
         }
+        auditor = operator.audit().isEmpty() ? null : new Auditor(loop, operator.audit().get(), configuration.name(), this::unixMs, metrics);
         fleet = operator.fleet().isEmpty() ? null : fleet(operator.fleet().get());
         if (fleet != null && fleet.copies() != null && recall != null) fleet.copies().remembers(recall);
-        if (fleet != null && fleet.versions() != null) callers.ends(this::answered);
+        if (auditor != null || fleet != null && fleet.versions() != null) callers.ends(this::answered);
     }
 
     /** No mark lives longer: the longest window of an operation and its client timeout, once for each end. */
@@ -214,6 +218,7 @@
     /** Listens; a failure to do so is the caller's to tell. */
     public void listen() throws IOException {
         if (recall != null) recall.start();
+        if (auditor != null) auditor.start();
         operator.metrics().ifPresent(figures -> new MetricsFile(metrics, figures.file()).start(figures.every()));
         Choice unused = Settings.choice(configuration.settings(), new SplittableRandom(configuration.seed()), false);
         new WarmUp(unused).work(List.copyOf(configuration.operations().values()), WARM_UP);
@@ -267,7 +272,8 @@
         Keys keys = new Keys(memory() / KEYS_PART,
             configuration.settings().span("familyInfo.freshNs", Duration.ZERO));
         host = new Host(loop, age.minus(loop.now()), choice, callers, health, keys, link, workers, records, recall,
-            fleet == null ? null : fleet.copies(), fleet == null ? null : fleet.versions());
+            fleet == null ? null : fleet.copies(), fleet == null ? null : fleet.versions(),
+            auditor == null ? inv -> { } : auditor::begun);
         host.start();
         if (recall != null) host.restore(configuration.operations(), age);
         if (leaving) host.leave(Duration.ZERO);
@@ -278,8 +284,11 @@
 
     /** A Unix time on the schedule; a clock that was set back makes nothing come from the future. */
     private Duration sinceStart(long unixMillis) {
-        long unix = System.currentTimeMillis() + operator.drill().clock().toMillis();
-        return loop.now().minusMillis(Math.max(0, unix - unixMillis));
+        return loop.now().minusMillis(Math.max(0, unixMs() - unixMillis));
+    }
+
+    private long unixMs() {
+        return System.currentTimeMillis() + operator.drill().clock().toMillis();
     }
 
     private void arrived(Try inv) {
@@ -292,6 +301,8 @@
 
     /** What became of it counts for the version that it was read under. */
     private void answered(Try inv, Ending how) {
+        if (auditor != null) auditor.answered(inv, how);
+        if (fleet == null || fleet.versions() == null) return;
         boolean good = how == Ending.SUCCEEDED || how == Ending.REPLAYED;
         boolean late = good && loop.now().minus(inv.arrived).compareTo(inv.operation.objective()) > 0;
         double value = inv.operation.value();
@@ -335,7 +346,12 @@
 
         @Override
         public void told(Versions.What what, Rollout.Version version, String text) {
-            LOG.fine(() -> "fleet: " + what + " version " + version.number() + ' ' + text);
+            if (auditor != null) auditor.told(what, version.number(), version.hash(), text);
+        }
+
+        @Override
+        public Chain.Head audited() {
+            return auditor == null ? Chain.Head.NONE : auditor.head();
         }
     }
 
@@ -395,6 +411,7 @@
         records.close();
         if (workers != null) workers.close();
         if (recall != null) recall.close();
+        if (auditor != null) auditor.close();
         if (fleet != null) fleet.close();
         network.flush();
         loop.after(LOOK, () -> {
--- a/src/main/java/ochretiller/operator/Operator.java
+++ b/src/main/java/ochretiller/operator/Operator.java
@@ -17,17 +17,29 @@
  * @param uwsgi    where front ends of uwsgi connect, if any do
  * @param pools    workers that carry out operations in the processor's place
  * @param fleet    the fleet that the server takes part in, if any
+ * @param audit    how it is kept what this server acts on, if it is
  * @param drill    faults of the machine, in drills only
  */
 public record Operator(boolean jsonLog, Optional<Figures> metrics, Optional<Remember> remember, Optional<Uwsgi> uwsgi,
-                       List<Workers> pools, Optional<FleetSettings> fleet, Drill drill) {
+                       List<Workers> pools, Optional<FleetSettings> fleet, Optional<Audit> audit, Drill drill) {
     /** Nothing is switched on. */
     public static final Operator NONE = new Operator(false, Optional.empty(), Optional.empty(), Optional.empty(), List.of(),
-        Optional.empty(), Drill.NONE);
+        Optional.empty(), Optional.empty(), Drill.NONE);
 
     /** The same with other pools. */
     public Operator with(List<Workers> others) {
-        return new Operator(jsonLog, metrics, remember, uwsgi, others, fleet, drill);
+        return new Operator(jsonLog, metrics, remember, uwsgi, others, fleet, audit, drill);
+    }
+
+    /**
+     * An audit.
+     *
+     * @param folder    where it is kept; one process has it at a time
+     * @param span      longest span of what is counted together
+     * @param mostBytes of all its files; the oldest go
+     * @param runs      whether each run of a token is kept, so that its version can be told
+     */
+    public record Audit(Path folder, Duration span, long mostBytes, boolean runs) {
     }
 
     /**
--- a/src/main/java/ochretiller/operator/OperatorFile.java
+++ b/src/main/java/ochretiller/operator/OperatorFile.java
@@ -46,7 +46,7 @@
             remember.isMissingNode() ? Optional.empty() : Optional.of(remember(remember)),
             root.has("uwsgi") ? Optional.of(uwsgi(root.get("uwsgi"))) : Optional.empty(), pools(root.path("pools")),
             root.has("fleet") ? Optional.of(fleet(root.get("fleet"))) : Optional.empty(),
-            drill(root.path("drill")));
+            root.has("audit") ? Optional.of(audit(root.get("audit"))) : Optional.empty(), drill(root.path("drill")));
     }
 
     private static List<Operator.Workers> pools(JsonNode pools) {
@@ -105,6 +105,10 @@
             node.path("catch_up_kb_per_s").asLong(2_048) << 10, modes(node), node.has("versions") ? versions(node.get("versions")) : null);
     }
 
+    private static Operator.Audit audit(JsonNode node) {
+        return new Operator.Audit(Path.of(node.get("folder").asText()), millis(node, "span_ms", 60_000), node.path("most_mb").asLong(64) << 20, node.path("runs").asBoolean(true));
+    }
+
     private static VersionSettings versions(JsonNode node) {
         return new VersionSettings(Path.of(node.get("folder").asText()), millis(node, "lease_ms", 10_000), millis(node, "grace_ms", 30_000), millis(node, "watch_ms", 60_000),
             millis(node, "patience_ms", 30_000), node.path("on_harm").asText("take-back").equals("take-back"));
@@ -114,7 +118,7 @@
     public static List<Operator.Workers> version(String text, String name) {
         Operator operator = of(text, name);
         boolean more = operator.metrics().isPresent() || operator.remember().isPresent() || operator.uwsgi().isPresent() || operator.fleet().isPresent()
-            || operator.jsonLog() || operator.pools().isEmpty();
+            || operator.jsonLog() || operator.audit().isPresent() || operator.pools().isEmpty();
         if (more) throw new MalformedException(name + ": a version has pools, and nothing else");
         return operator.pools();
     }
