Play versions in drawn fleets; count a lease's grace from what a voter knows

Change: `fleet versions` of the emulator: the server's own voters, rollouts, leases and gathering in virtual time; each keyed run is held against what was in force for its server by the stated bound. What it found is mended: servers that had heard of no version needed no lease; grace counted from a server's first word, so that one that was cut off had it anew; a voter that heard few took those for the fleet, and shut nobody out; a stage whose server had died stood still for ever.

--- a/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
+++ b/emulator/src/main/java/ochretiller/emulator/FleetCommands.java
@@ -19,6 +19,7 @@
 import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.FleetScriptFile;
 import ochretiller.emulator.fleet.FleetWorld;
+import ochretiller.emulator.fleet.VersionsWorld;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -153,6 +154,53 @@
         return 0;
     }
 
+    @Command(name = "versions", mixinStandardHelpOptions = true,
+        description = "Versions that are brought out, some of them harmful, in fleets with drawn faults; each keyed run is held against what was in force.")
+    int versions(@Option(names = "--seed", defaultValue = "1") long seed, @Option(names = "--seeds", defaultValue = "200") int seeds,
+                 @Option(names = "--publish", defaultValue = "3", description = "Versions for each schedule.") int publish,
+                 @Option(names = "--harmful", defaultValue = "0.3", description = "Share of them.") double harmful,
+                 @Option(names = "--no-faults", description = "The same fleets without any fault.") boolean calm,
+                 @Option(names = "--no-leases", description = "Servers heed no lease: stragglers have to be seen.") boolean open) throws Exception {
+        List<Callable<VersionsWorld.Outcomes>> runs = new ArrayList<>();
+        for (int i = 0; i < seeds; i++) {
+            long each = seed + i;
+            runs.add(() -> {
+                FleetScript drawn = Drawn.copies(each);
+                FleetScript script = calm ? new FleetScript(drawn.name(), drawn.seconds(), drawn.members(), drawn.zones(), drawn.seeds(), drawn.startS(), drawn.probeMs(), drawn.delayMs(),
+                    drawn.jitterMs(), true, true, drawn.load(), List.of(), drawn.expect()) : drawn;
+                return new VersionsWorld(script, each, !open).play(publish, harmful);
+            });
+        }
+        VersionsWorld.Outcomes all = new VersionsWorld.Outcomes();
+        List<Double> settled = new ArrayList<>();
+        int broken = 0;
+        int unsettled = 0;
+        int number = 0;
+        for (Future<VersionsWorld.Outcomes> each : all(runs)) {
+            VersionsWorld.Outcomes one = each.get();
+            all.published += one.published;
+            all.harmless += one.harmless;
+            all.harmlessStopped += one.harmlessStopped;
+            all.harmfulOnes += one.harmfulOnes;
+            all.harmfulStopped += one.harmfulStopped;
+            all.stoppedEarly += one.stoppedEarly;
+            all.runs += one.runs;
+            all.refusedRuns += one.refusedRuns;
+            all.rolloutS.addAll(one.rolloutS);
+            settled.add(one.settledS);
+            if (Double.isInfinite(one.settledS) && unsettled++ < 5) System.out.println("seed " + (seed + number) + ": " + one.notes);
+            if (!one.broken.isEmpty() && broken++ < 10) System.out.println("seed " + (seed + number) + ": " + one.broken.get(0) + (one.broken.size() > 1 ? " and " + (one.broken.size() - 1) + " more" : ""));
+            number++;
+        }
+        settled.sort(null);
+        all.rolloutS.sort(null);
+        System.out.printf(Locale.ROOT, "%d schedules, %d broken, %d unsettled: %d versions, harmless %d of which stopped %d, harmful %d of which stopped %d, %d before all acted on them; "
+            + "keyed runs %d, shut out %d; settled p50 %.1f p99 %.1f s; a rollout p50 %.1f s%n", seeds, broken, unsettled, all.published, all.harmless, all.harmlessStopped, all.harmfulOnes,
+            all.harmfulStopped, all.stoppedEarly, all.runs, all.refusedRuns, settled.get(seeds / 2), settled.get(seeds * 99 / 100),
+            all.rolloutS.isEmpty() ? Double.NaN : all.rolloutS.get(all.rolloutS.size() / 2));
+        return broken + unsettled == 0 ? 0 : MISSED;
+    }
+
     @Command(name = "copies-sizes", mixinStandardHelpOptions = true,
         description = "What copies cost by the size of the fleet, and a third that comes back without its disks; a table and a chart in a folder.")
     int copiesSizes(@Option(names = "--out", required = true) Path out, @Option(names = "--sizes", split = ",", defaultValue = "10,30,100,300,1000") List<Integer> sizes) throws Exception {
--- a/emulator/src/test/java/ochretiller/emulator/FleetTest.java
+++ b/emulator/src/test/java/ochretiller/emulator/FleetTest.java
@@ -16,6 +16,7 @@
 import ochretiller.emulator.fleet.FleetScript;
 import ochretiller.emulator.fleet.FleetScriptFile;
 import ochretiller.emulator.fleet.FleetWorld;
+import ochretiller.emulator.fleet.VersionsWorld;
 import ochretiller.emulator.fleet.MembersModel;
 import ochretiller.settings.MalformedException;
 import org.junit.jupiter.api.Test;
@@ -96,6 +97,21 @@
         assertThat(new Explore(() -> new ClaimsModel(1, true)).explore(3, 100_000, line -> { }).broken()).isNotNull();
     }
 
+    @Test
+    void noKeyedRunActsOnAVersionThatWasNotInForceAndStragglersAreFoundWithoutLeases() {
+        int harmful = 0;
+        int stopped = 0;
+        for (long seed = 1; seed <= 80; seed++) {
+            VersionsWorld.Outcomes outcome = new VersionsWorld(Drawn.copies(seed), seed, true).play(3, 0.3);
+            assertThat(outcome.broken).as("seed " + seed).isEmpty();
+            assertThat(outcome.settledS).as("seed " + seed + ": " + outcome.notes).isFinite();
+            harmful += outcome.harmfulOnes;
+            stopped += outcome.harmfulStopped;
+        }
+        assertThat(stopped).isGreaterThan(harmful * 3 / 4);
+        assertThat(new VersionsWorld(Drawn.copies(290), 290, false).play(3, 0.3).broken).as("without leases").isNotEmpty();
+    }
+
     @Test
     void aScriptThatCannotBePlayedIsToldSo() {
         assertThatThrownBy(() -> FleetScriptFile.of("{ seconds: 5, members: 3, incidents: [ { at_s: 1, for_s: 9, what: 'cut', who: '1' } ] }", "s"))
--- a/src/main/java/ochretiller/fleet/peers/Versions.java
+++ b/src/main/java/ochretiller/fleet/peers/Versions.java
@@ -185,7 +185,7 @@
 
     /** Looked at last, just before a keyed run is begun: whether this server may act on what it acts on. */
     public boolean may() {
-        return settings.lease().isZero() || layout.rollout().to().number() == 0 || lease.holds(schedule.exact());
+        return settings.lease().isZero() || lease.holds(schedule.exact());
     }
 
     /** What became of an invocation that was read under this version. */
@@ -198,6 +198,7 @@
         if (next.epoch() <= layout.epoch() && !layout.servers().isEmpty()) return;
         Rollout before = layout.rollout();
         layout = next;
+        doorkeeper.become(next, schedule.now());
         Rollout rollout = next.rollout();
         if (!rollout.equals(before)) {
             String text = "version " + rollout.to().number() + (rollout.over() ? " is in force" : " comes to stage " + rollout.stage() + ", " + rollout.state());
@@ -285,7 +286,7 @@
         for (Gather.Ask ask : gather.tick(sources(), now)) send.accept(ask.to(), ask.message());
         take(now);
         boolean out = !may();
-        if (out != wasOut) {
+        if (out != wasOut && !lease.ends().isZero()) { // a start has none yet, and says nothing of that
             LOG.warning(out ? "fleet: the voters do not renew this server's lease: keyed work is throttled" : "fleet: this server's lease holds: keyed work is let in");
             acts.told(out ? What.SHUT_OUT : What.LET_IN, acting, out ? "its lease has ended" : "its lease holds");
         }
--- a/src/main/java/ochretiller/fleet/versions/Doorkeeper.java
+++ b/src/main/java/ochretiller/fleet/versions/Doorkeeper.java
@@ -23,11 +23,15 @@
     private final Duration grace;
     private final RandomGenerator chance;
     private final Set<String> out = new HashSet<>();
-    private final Map<String, Duration> turnSince = new HashMap<>();
-    private Rollout.Version last = Rollout.Version.NONE;
+    /** What is in force for each server, and since when, as this voter knows. */
+    private final Map<String, Turn> turns = new HashMap<>();
+    private Layout last;
     private double back = BACK_BURST;
     private Duration backAt = Duration.ZERO;
 
+    private record Turn(Rollout.Version target, Duration since) {
+    }
+
     /** @param grace how long a server may take to come to act on what is in force for it */
     public Doorkeeper(Duration grace, RandomGenerator chance) {
         this.grace = grace;
@@ -45,17 +49,15 @@
      * @param reports what each server that is there has said last, this one among them
      */
     public boolean renews(Layout layout, String name, Map<String, Report> reports, Duration now) {
-        Rollout rollout = layout.rollout();
-        if (!rollout.to().equals(last)) {
-            last = rollout.to();
-            turnSince.clear();
-        }
-        turnSince.keySet().retainAll(reports.keySet());
+        become(layout, now);
         out.retainAll(reports.keySet());
+        turns.keySet().removeIf(each -> !reports.containsKey(each) && !layout.has(each));
         int late = 0;
         for (Map.Entry<String, Report> each : reports.entrySet()) if (late(layout, each.getKey(), each.getValue(), now)) late++;
         boolean mine = reports.containsKey(name) && late(layout, name, reports.get(name), now);
-        if (mine && late <= Math.max(1, MOST_OUT * reports.size())) {
+        // Of all that there are: a voter that hears few must not take those for the fleet.
+        int all = Math.max(reports.size(), layout.servers().size());
+        if (mine && late <= Math.max(1, MOST_OUT * all)) {
             out.add(name);
             return false;
         }
@@ -69,11 +71,21 @@
         return true;
     }
 
+    /** This is in force: time counts from here, and not from a server's next word. One that could not be heard meanwhile has had its time. */
+    public void become(Layout layout, Duration now) {
+        if (layout.equals(last)) return;
+        last = layout;
+        for (Layout.Server each : layout.servers()) turn(layout, each.name(), now);
+        for (String each : Set.copyOf(turns.keySet())) turn(layout, each, now);
+    }
+
+    private Turn turn(Layout layout, String name, Duration now) {
+        Rollout.Version target = Stages.target(layout, name);
+        return turns.merge(name, new Turn(target, now), (before, next) -> before.target.equals(target) ? before : next);
+    }
+
     private boolean late(Layout layout, String name, Report report, Duration now) {
-        if (!Rollouts.behind(report, Stages.target(layout, name))) {
-            turnSince.remove(name);
-            return false;
-        }
-        return now.minus(turnSince.computeIfAbsent(name, ignored -> now)).compareTo(grace) >= 0;
+        Turn turn = turn(layout, name, now);
+        return Rollouts.behind(report, turn.target) && now.minus(turn.since).compareTo(grace) >= 0;
     }
 }
--- a/src/main/java/ochretiller/fleet/versions/Rollouts.java
+++ b/src/main/java/ochretiller/fleet/versions/Rollouts.java
@@ -97,7 +97,10 @@
         }
         long behind = turn.stream().filter(each -> behind(reports.get(each), rollout.to())).count();
         boolean enough = behind == 0 || now.minus(since).compareTo(patience) >= 0 && behind <= MOST_OUT * turn.size();
-        if (turn.isEmpty() || !enough) return Optional.empty();
+        if (turn.isEmpty() || !enough) {
+            settled = null; // who acted on it is gone, and what was seen of it is no reason to go on
+            return Optional.empty();
+        }
         if (settled == null) settled = now;
         if (now.minus(settled).compareTo(wait) < 0) return Optional.empty();
         return Optional.of(rollout.stage() < Stages.ALL ? rollout.at(rollout.stage() + 1) : rollout.done());
