--- a/src/main/java/ochretiller/audit/files/AuditWriter.java
+++ b/src/main/java/ochretiller/audit/files/AuditWriter.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import java.util.logging.Logger;
 import ochretiller.audit.Chain;
 import ochretiller.audit.Entry;
@@ -33,13 +35,14 @@
     private final long fileBytes;
     private final BlockingQueue<Entry> waiting = new ArrayBlockingQueue<>(WAITING);
     private final Thread thread = new Thread(this::work, "audit");
-    private final java.util.function.LongSupplier unixMs;
+    private final LongSupplier unixMs;
     private Chain chain;
     private FileChannel file;
     private long size;
     private boolean sick;
     private volatile boolean over;
-    private volatile long lost;
+    /** Counted by the thread that hands over, and by the writer's own. */
+    private final AtomicLong lost = new AtomicLong();
     private volatile long written;
     private volatile Chain.Head head;
     private final List<Chain.Fault> faults;
@@ -49,7 +52,7 @@
      *
      * @param mostBytes of all files together
      */
-    public AuditWriter(Path folder, long mostBytes, java.util.function.LongSupplier unixMs) throws IOException {
+    public AuditWriter(Path folder, long mostBytes, LongSupplier unixMs) throws IOException {
         this.folder = Files.createDirectories(folder);
         this.fileBytes = Math.max(64 * 1024, mostBytes / FILES);
         this.unixMs = unixMs;
@@ -79,7 +82,7 @@
 
     /** Handed over, or counted as lost. */
     public void add(Entry entry) {
-        if (!waiting.offer(entry)) lost++;
+        if (!waiting.offer(entry)) lost.incrementAndGet();
     }
 
     /** Where the chain on the disk ends. */
@@ -88,7 +91,7 @@
     }
 
     public long lost() {
-        return lost;
+        return lost.get();
     }
 
     public long written() {
@@ -108,13 +111,13 @@
                 if (first == null && over) break;
                 if (first != null) group.add(first);
                 waiting.drainTo(group, GROUP - group.size());
-                if (lost > told && !group.isEmpty()) {
-                    group.add(0, new Entry.Event(Entry.Kind.LOST, 0, unixMs.getAsLong(), (lost - told) + " records that the disk did not take"));
+                if (lost.get() > told && !group.isEmpty()) {
+                    group.add(0, new Entry.Event(Entry.Kind.LOST, 0, unixMs.getAsLong(), (lost.get() - told) + " records that the disk did not take"));
                 }
                 if (group.isEmpty()) continue;
-                long losses = lost;
+                long losses = lost.get();
                 if (write(group)) told = losses;
-                else lost += group.stream().filter(each -> !(each instanceof Entry.Event event && event.kind() == Entry.Kind.LOST)).count();
+                else lost.addAndGet(group.stream().filter(each -> !(each instanceof Entry.Event event && event.kind() == Entry.Kind.LOST)).count());
                 group.clear();
                 // Others gather meanwhile, and go out with one force.
                 if (sick || waiting.size() < GROUP && !over) Thread.sleep(sick ? 5 * PAUSE_MS : PAUSE_MS / 4);
--- a/src/main/java/ochretiller/node/Auditor.java
+++ b/src/main/java/ochretiller/node/Auditor.java
@@ -59,7 +59,9 @@
 
     /** Something has happened to a version here. */
     void told(Versions.What what, long version, String hash, String text) {
+        // A span is of one kind all through: what was acted on before stands in a span of its own.
         if (what == Versions.What.CHANGED) spans.begin(version, hash, unixMs.getAsLong(), schedule.now()).ifPresent(writer::add);
+        else if (what == Versions.What.SHUT_OUT || what == Versions.What.LET_IN) writer.add(spans.end(unixMs.getAsLong(), schedule.now()));
         event(Entry.Kind.valueOf(what.name()), version, text);
     }
 
