--- a/drill/src/main/java/ochretiller/drill/Box.java
+++ b/drill/src/main/java/ochretiller/drill/Box.java
@@ -35,7 +35,7 @@
     private static final int MEMORY_MB = 64;
     private static final int LOAD_MB = 256;
     /** Spans short enough to be drilled. */
-    private static final String VERSIONS = ", versions: { folder: '%s', lease_ms: 2000, grace_ms: 3000, watch_ms: 1500, patience_ms: 4000 }";
+    private static final String VERSIONS = ", versions: { folder: '%s', lease_ms: 2000, grace_ms: 3000, watch_ms: 3000, patience_ms: 4000 }";
     private static final int STARTS_S = 40;
     /** The repository, whose package is drilled. */
     private static final Path ROOT = Path.of(System.getProperty("drill.root", ".")).toAbsolutePath();
