Replace small files in one way; read what audits know of one another in one place

Need: versions' bytes were put in place by a copy of what the sealed files do, without forcing the name, though a voter's word that it has them rests on that; the command and the drill each read witnessed heads by themselves; a getter and a count that nobody read.

Change: SealedFile.replace serves both, and halves of files that a crash left are cleared away; Timeline.witnessed serves both.

--- a/drill/src/main/java/ochretiller/drill/VersionSteps.java
+++ b/drill/src/main/java/ochretiller/drill/VersionSteps.java
@@ -178,11 +178,7 @@
         Map<String, AuditFolder.Found> found = new TreeMap<>();
         for (int slot = 1; slot <= SERVERS; slot++) {
             stage.box(slot).awaitEnd();
-            for (Entry entry : AuditFolder.read(stage.box(slot).audit(), List.of()).entries()) {
-                if (!(entry instanceof Entry.Event event) || event.kind() != Entry.Kind.WITNESSED) continue;
-                String[] words = event.text().split(" ");
-                known.computeIfAbsent(words[0], ignored -> new ArrayList<>()).add(new Chain.Head(Long.parseLong(words[1]), words[2]));
-            }
+            Timeline.witnessed(AuditFolder.read(stage.box(slot).audit(), List.of()).entries(), known);
         }
         Timeline line = new Timeline();
         for (int slot = 1; slot <= SERVERS; slot++) {
--- a/emulator/src/main/java/ochretiller/emulator/fleet/VersionsWorld.java
+++ b/emulator/src/main/java/ochretiller/emulator/fleet/VersionsWorld.java
@@ -77,7 +77,6 @@
         public int stoppedEarly;
         public long runs;
         public long refusedRuns;
-        public long badRuns;
         public long messages;
         /** From the last fault, or the last word, until all live servers act on what is in force; infinite where they do not come to. */
         public double settledS = Double.POSITIVE_INFINITY;
@@ -214,7 +213,6 @@
         private void ran() {
             outcomes.runs++;
             boolean bad = chance.nextDouble() < (harmful.contains(acting.number()) ? HARM : USUAL);
-            if (bad) outcomes.badRuns++;
             counts.merge(acting.number(), new Counts(1, 0, bad ? 1 : 0, 0, bad ? 0 : 1, 1), Counts::plus);
             String wrong = wrong(this);
             if (wrong != null && outcomes.broken.size() < 20) outcomes.broken.add(String.format(Locale.ROOT, "%.3f s: %s", events.seconds(), wrong));
--- a/src/main/java/ochretiller/audit/Timeline.java
+++ b/src/main/java/ochretiller/audit/Timeline.java
@@ -33,6 +33,15 @@
     public record Ran(String server, long version, long atMs) {
     }
 
+    /** Adds what these records know of where others' audits ended, by their names. */
+    public static void witnessed(List<Entry> entries, Map<String, List<Chain.Head>> known) {
+        for (Entry entry : entries) {
+            if (!(entry instanceof Entry.Event event) || event.kind() != Entry.Kind.WITNESSED) continue;
+            String[] words = event.text().split(" ");
+            if (words.length == 3) known.computeIfAbsent(words[0], ignored -> new ArrayList<>()).add(new Chain.Head(Long.parseLong(words[1]), words[2]));
+        }
+    }
+
     /** A server's records, oldest first. */
     public Timeline add(String server, List<Entry> entries) {
         servers.put(server, List.copyOf(entries));
--- a/src/main/java/ochretiller/commands/AuditCommand.java
+++ b/src/main/java/ochretiller/commands/AuditCommand.java
@@ -9,7 +9,6 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -56,11 +55,7 @@
             Map<String, List<Chain.Head>> known = new LinkedHashMap<>();
             for (Map.Entry<String, Path> each : folders.entrySet()) {
                 if (!Files.isDirectory(each.getValue())) throw new MalformedException("there is no folder " + each.getValue());
-                for (Entry entry : AuditFolder.read(each.getValue(), List.of()).entries()) {
-                    if (!(entry instanceof Entry.Event event) || event.kind() != Entry.Kind.WITNESSED) continue;
-                    String[] words = event.text().split(" ");
-                    if (words.length == 3) known.computeIfAbsent(words[0], ignored -> new ArrayList<>()).add(new Chain.Head(Long.parseLong(words[1]), words[2]));
-                }
+                Timeline.witnessed(AuditFolder.read(each.getValue(), List.of()).entries(), known);
             }
             for (Map.Entry<String, Path> each : folders.entrySet()) {
                 found.put(each.getKey(), AuditFolder.read(each.getValue(), known.getOrDefault(each.getKey(), List.of())));
--- a/src/main/java/ochretiller/fleet/peers/SealedFile.java
+++ b/src/main/java/ochretiller/fleet/peers/SealedFile.java
@@ -78,9 +78,14 @@
         }
         long sum = sum(out.toByteArray(), out.size());
         out.writeBytes(ByteBuffer.allocate(SUM).putLong(sum).array());
+        replace(file, out.toByteArray());
+    }
+
+    /** Puts these bytes in the place of a file, or leaves it as it was; durable with its name once it returns. */
+    static void replace(Path file, byte[] all) throws IOException {
         Path half = file.resolveSibling(file.getFileName() + ".tmp");
         try (FileChannel channel = FileChannel.open(half, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer bytes = ByteBuffer.wrap(out.toByteArray());
+            ByteBuffer bytes = ByteBuffer.wrap(all);
             while (bytes.hasRemaining()) channel.write(bytes);
             channel.force(true);
         }
--- a/src/main/java/ochretiller/fleet/peers/Versions.java
+++ b/src/main/java/ochretiller/fleet/peers/Versions.java
@@ -1,14 +1,10 @@
 package ochretiller.fleet.peers;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
@@ -260,14 +256,9 @@
         needed.add(acting.hash());
         writes.take(() -> {
             try {
-                Path half = file(hash + ".tmp");
-                try (FileChannel channel = FileChannel.open(half, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-                    for (ByteBuffer rest = ByteBuffer.wrap(all); rest.hasRemaining();) channel.write(rest);
-                    channel.force(true);
-                }
-                Files.move(half, file(hash), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+                SealedFile.replace(file(hash), all);
                 schedule.post(then);
-                try (DirectoryStream<Path> files = Files.newDirectoryStream(settings.folder(), "*" + SUFFIX)) {
+                try (DirectoryStream<Path> files = Files.newDirectoryStream(settings.folder(), "*" + SUFFIX + "{,.tmp}")) {
                     for (Path each : files) {
                         String text = each.getFileName().toString();
                         if (!needed.contains(text.substring(0, text.length() - SUFFIX.length()))) Files.deleteIfExists(each);
--- a/src/main/java/ochretiller/fleet/versions/Rollouts.java
+++ b/src/main/java/ochretiller/fleet/versions/Rollouts.java
@@ -57,11 +57,6 @@
         return halted;
     }
 
-    /** What is known of a server, or null. */
-    public Report report(String name) {
-        return reports.get(name);
-    }
-
     private void look(Rollout rollout, Duration now) {
         if (rollout.equals(seen)) return;
         if (rollout.to().number() != seen.to().number()) baseline.clear();
