--- a/src/main/java/ochretiller/node/Configuration.java
+++ b/src/main/java/ochretiller/node/Configuration.java
@@ -73,6 +73,13 @@
         return read;
     }
 
+    /** Guards against a JVM that was sized by something else; null where it was sized by nobody. */
+    public void holdsFor(Integer sizedMb) {
+        if (sizedMb == null || sizedMb == memoryMb) return;
+        throw new MalformedException("limits.memory_mb is " + memoryMb + ", and the JVM was sized for " + sizedMb
+            + ": write it as plain digits on the line of its name");
+    }
+
     Map<String, Operation> operations() {
         return Settings.operations(settings);
     }
--- a/src/main/java/ochretiller/node/Hangup.java
+++ b/src/main/java/ochretiller/node/Hangup.java
@@ -20,8 +20,12 @@
                     if (method.getName().equals("handle")) work.run();
                     return null;
                 });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), mine);
+            // The JVM says so and installs nothing.
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                LOG.warning("SIGHUP is ignored by whoever started this server: it takes no new configuration");
+            }
         } catch (ReflectiveOperationException e) {
             LOG.warning("SIGHUP ends this server: the JDK gives no handler for it");
         }
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -116,6 +116,7 @@
         this.operator = operator;
         this.operatorNow = operatorNow;
         this.configuration = Configuration.read(file);
+        configuration.holdsFor(Integer.getInteger("ochretiller.sizedForMb"));
         network = new Network(loop, memory());
         link = new Link(loop, network, configuration.processor(),
             List.of(configuration.settings().text("familyInfo.meters").split(",")), this::up,
