Write calls that wait to the new address at once when the service moves

By reading: after SIGHUP a call that waited for a connection to the old address waited on, for up to 2 s where that one hung, since connections under way counted as on the way to it. They are counted by the address they go to. RecordsTest forces it with a full backlog and with the loop's work in the test's hands; the first of its tests fails without the change.

--- a/src/main/java/ochretiller/records/Records.java
+++ b/src/main/java/ochretiller/records/Records.java
@@ -38,7 +38,9 @@
     private final Set<End> ends = new LinkedHashSet<>();
     private final Deque<End> idle = new ArrayDeque<>();
     private InetSocketAddress address;
+    /** Connections being made to the present address; the age tells them from those to former ones. */
     private int connecting;
+    private long age;
 
     /** What is told of the end of a call; the reply has no bytes unless it succeeded. */
     @FunctionalInterface
@@ -91,6 +93,9 @@
     public void move(InetSocketAddress to) {
         if (to.equals(address)) return;
         address = to;
+        // Guards against calls that wait for connections to where nobody is any more.
+        age++;
+        connecting = 0;
         for (End end : new ArrayList<>(idle)) end.leave(CloseCode.MOVED);
         next();
     }
@@ -101,7 +106,10 @@
         while (connecting < unsent.size() && ends.size() + connecting < most) {
             connecting++;
             InetSocketAddress to = address;
-            network.connect(to, made -> new End(made, to), this::refused);
+            long mine = age;
+            network.connect(to, made -> new End(made, to, mine), () -> {
+                if (mine == age) refused();
+            });
         }
     }
 
@@ -176,20 +184,22 @@
     private final class End implements Receiver {
         private final Connection mine;
         private final InetSocketAddress to;
+        private final long made;
         private final Frames frames = new Frames(LONGEST, true, Records::bodyLength);
         /** The call that was written on it and is not over. */
         private Call call;
 
-        End(Connection mine, InetSocketAddress to) {
+        End(Connection mine, InetSocketAddress to, long made) {
             this.mine = mine;
             this.to = to;
+            this.made = made;
             schedule.post(this::opened);
         }
 
         private void opened() {
-            connecting--;
+            if (made == age) connecting--;
             if (!mine.open()) {
-                notReached(); // nothing was written on it
+                if (made == age) notReached(); // nothing was written on it
                 return;
             }
             ends.add(this);
--- /dev/null
+++ b/src/test/java/ochretiller/records/RecordsTest.java
@@ -0,0 +1,158 @@
+package ochretiller.records;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import ochretiller.HandLoop;
+import ochretiller.model.CallEnd;
+import ochretiller.net.Network;
+import ochretiller.standin.Wire;
+import org.junit.jupiter.api.Test;
+
+class RecordsTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+    private final HandLoop loop = new HandLoop();
+    private final Network network = new Network(loop, 64L * 1024 * 1024);
+    private final List<CallEnd.Result> ends = new ArrayList<>();
+
+    private static InetSocketAddress address(ServerSocket service) {
+        return new InetSocketAddress(service.getInetAddress(), service.getLocalPort());
+    }
+
+    private static ServerSocket service(int backlog) throws IOException {
+        return new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
+    }
+
+    private Records records(ServerSocket service) {
+        return new Records(loop, network, address(service), 8);
+    }
+
+    private void call(Records records, String rid) {
+        records.call(rid, PATIENCE, new byte[] {1}, (end, reply) -> ends.add(end.result()));
+    }
+
+    /** A service whose backlog is full: who connects hangs. */
+    private static ServerSocket full(List<Socket> held) throws IOException {
+        ServerSocket service = service(1);
+        while (true) {
+            Socket socket = new Socket();
+            try {
+                socket.connect(address(service), 200);
+                held.add(socket);
+            } catch (SocketTimeoutException e) {
+                socket.close();
+                return service;
+            }
+        }
+    }
+
+    @Test
+    void callThatWaitsForAHangingConnectionIsWrittenToTheNextAddressAtOnce() throws Exception {
+        List<Socket> held = new ArrayList<>();
+        try (ServerSocket old = full(held); ServerSocket next = service(50)) {
+            Records records = records(old);
+            call(records, "a");
+            records.move(address(next));
+            Wire wire = new Wire(next.accept());
+            loop.one(); // the connection is there
+            network.flush();
+            assertThat(wire.line()).startsWith("OP a ");
+            assertThat(wire.bytes(1)).isEqualTo("\u0001");
+            wire.send("a DONE 0\r\n\r\n");
+            loop.one();
+            assertThat(ends).containsExactly(CallEnd.Result.SUCCEEDED);
+            wire.close();
+        } finally {
+            for (Socket socket : held) socket.close();
+            network.stop();
+        }
+    }
+
+    @Test
+    void addressThatMovesWithCallsConnectingWaitingAndWrittenLosesNone() throws Exception {
+        try (ServerSocket old = service(50); ServerSocket next = service(50)) {
+            Records records = records(old);
+            call(records, "written");
+            Wire first = new Wire(old.accept());
+            loop.one();
+            network.flush();
+            assertThat(first.line()).startsWith("OP written ");
+            first.bytes(1);
+            call(records, "connecting");
+            Wire second = new Wire(old.accept());
+            loop.await(1); // its connection is made, and the loop does not know yet
+            records.move(address(next));
+            Wire third = new Wire(next.accept());
+            loop.await(2);
+            loop.all();
+            network.flush();
+            assertThat(third.line()).startsWith("OP connecting ");
+            third.bytes(1);
+            assertThat(second.line()).isNull(); // nothing was written on it
+            first.send("written DONE 0\r\n\r\n");
+            third.send("connecting DONE 0\r\n\r\n");
+            for (int i = 0; ends.size() < 2 && i < 10; i++) loop.one();
+            assertThat(ends).containsExactly(CallEnd.Result.SUCCEEDED, CallEnd.Result.SUCCEEDED);
+        } finally {
+            network.stop();
+        }
+    }
+
+    @Test
+    void connectionThatBreaksUnderACallProvesNothingAndARefusedOneThatItNeverRan() throws Exception {
+        ServerSocket service = service(50);
+        Records records = records(service);
+        call(records, "a");
+        Wire wire = new Wire(service.accept());
+        loop.one();
+        network.flush();
+        assertThat(wire.line()).startsWith("OP a ");
+        service.close();
+        wire.reset();
+        for (int i = 0; ends.isEmpty() && i < 10; i++) loop.one();
+        assertThat(ends).containsExactly(CallEnd.Result.RESET);
+        call(records, "b");
+        for (int i = 0; ends.size() < 2 && i < 10; i++) loop.one();
+        assertThat(ends).containsExactly(CallEnd.Result.RESET, CallEnd.Result.NOT_REACHED);
+        network.stop();
+    }
+
+    @Test
+    void replyThatCrossesTheGivingUpOfItsCallIsNobodysElse() throws Exception {
+        try (ServerSocket service = service(50)) {
+            Records records = records(service);
+            call(records, "a");
+            Wire wire = new Wire(service.accept());
+            loop.one();
+            network.flush();
+            wire.line();
+            wire.bytes(1);
+            wire.send("a DONE 0\r\n\r\n");
+            loop.await(1); // the reply is read, and not worked off
+            records.abandon("a");
+            call(records, "b");
+            Wire other = new Wire(service.accept());
+            loop.one(); // the late reply
+            assertThat(ends).isEmpty();
+            assertThat(wire.line()).isEqualTo("UNOP a");
+            assertThat(wire.line()).isNull();
+            for (int i = 0; i < 2; i++) loop.one(); // the end of that connection, and the new one
+            network.flush();
+            assertThat(other.line()).startsWith("OP b ");
+            other.bytes(1);
+            other.send("b DONE 0\r\n\r\n");
+            loop.one();
+            assertThat(ends).containsExactly(CallEnd.Result.SUCCEEDED);
+        } finally {
+            network.stop();
+        }
+    }
+}
