Tie repeats at the edge of their window, and by the Unix clock as well

A try's arrival is reckoned from the start of the gathering that reads it, so two tries read late by different amounts were up to that much nearer or farther than their dates say: a repeat within the last milliseconds of its window was not tied and would have run again. Entries live 100 ms longer. A Unix clock that was set back makes a repeat come within the window by the clock that dates it and behind it by ours: it is tied by either.

--- a/emulator/src/main/java/ochretiller/emulator/world/Box.java
+++ b/emulator/src/main/java/ochretiller/emulator/world/Box.java
@@ -174,7 +174,7 @@
     private void arrived(Message message) {
         rules.read(events.seconds(), message.id.value(), message.operation.name(), startedAt + message.arrived.toNanos() / 1e9
             + message.operation.clientTimeout().toNanos() / 1e9, !message.operation.idempotent());
-        InvId forerunner = keys.read(message.id, message.operation, message.token, null, message.arrived, now());
+        InvId forerunner = keys.read(message.id, message.operation, message.token, null, message.arrived, Keys.UNDATED, now());
         tries.put(message.id, message);
         if (forerunner != null) forerunners.put(message.id, forerunner);
         choice.arrived(new Invocation(message.id, forerunner, message.operation, message.kb, message.arrived,
@@ -433,7 +433,7 @@
     @Override
     public void keep(InvId id, Duration span) {
         Message message = tries.get(id);
-        keys.keep(id, message.operation, message.token, new byte[0], now().plus(span));
+        keys.keep(id, message.operation, message.token, new byte[0], Keys.UNDATED, now().plus(span));
     }
 
     @Override
--- a/src/main/java/ochretiller/front/Try.java
+++ b/src/main/java/ochretiller/front/Try.java
@@ -14,6 +14,8 @@
     public final long caller;
     /** When it reached the machine, on the schedule. */
     public final Duration arrived;
+    /** The like as its caller dated it, in Unix milliseconds, or {@code Keys.UNDATED}. */
+    public final long t0;
     /** The token of a tokened one, else null. */
     public final String token;
     /** What a read is about, or null. */
@@ -27,14 +29,15 @@
     private long version;
 
     /** What was read; token or object are kept only where the operation has a use for them. */
-    public Try(InvId id, String rid, Operation operation, double kb, long caller, Duration arrived, String token, String object,
-               byte[] body, Peer peer, long number) {
+    public Try(InvId id, String rid, Operation operation, double kb, long caller, Duration arrived, long t0, String token,
+               String object, byte[] body, Peer peer, long number) {
         this.id = id;
         this.rid = rid;
         this.operation = operation;
         this.kb = kb;
         this.caller = caller;
         this.arrived = arrived;
+        this.t0 = t0;
         this.token = operation.tokened() ? token : null;
         this.object = operation.tokened() ? null : object;
         this.body = body;
--- a/src/main/java/ochretiller/gateway/Gateway.java
+++ b/src/main/java/ochretiller/gateway/Gateway.java
@@ -106,6 +106,6 @@
         if (peer.open().size() >= OPEN) throw new RpcException(RpcException.REQUEST, "too many open requests");
         if (callers.knows(params.rid())) throw new RpcException(RpcException.PARAMS, "rid is in use");
         callers.opened(new Try(callers.nextId(), params.rid(), operation, params.kb(), params.caller(),
-            sinceStart.apply(params.t0()), params.token(), params.object(), params.body(), peer, message.id()));
+            sinceStart.apply(params.t0()), params.t0(), params.token(), params.object(), params.body(), peer, message.id()));
     }
 }
--- a/src/main/java/ochretiller/keys/Keys.java
+++ b/src/main/java/ochretiller/keys/Keys.java
@@ -16,8 +16,12 @@
 
 /** The table of keys: which kept try one repeats, and the results that repeats are answered with. */
 public final class Keys {
+    /** In place of the Unix milliseconds of a try that no caller has dated. */
+    public static final long UNDATED = Long.MAX_VALUE;
     /** Bytes that an entry takes beside its result. */
     private static final int ENTRY = 400;
+    /** A try is dated by one clock and known by another, each gathering by its start: repeats at the edge are tied still. */
+    private static final Duration SLACK = Duration.ofMillis(100);
 
     private final long mostBytes;
     private final Duration fresh;
@@ -49,6 +53,8 @@
         byte[] hash;
         /** A repeat that reached the machine before this is tied to it; later ones are not. */
         Duration until;
+        /** The like by the clock of those who date tries, in Unix milliseconds. */
+        long untilUnix = Long.MIN_VALUE;
         Duration forgetAt;
         boolean over;
         byte[] result;
@@ -83,20 +89,28 @@
         return operation.idempotent() && object != null ? new ReadKey(operation, object) : null;
     }
 
-    /** The try that one which arrived then repeats, or null. A read that repeats none is known from here on. */
-    public InvId read(InvId id, Operation operation, String token, String object, Duration arrived, Duration now) {
+    /**
+     * The try that one which arrived then repeats, or null. A read that repeats none is known from here on.
+     *
+     * @param t0 the arrival as its caller dated it, in Unix milliseconds, or {@link #UNDATED}
+     */
+    public InvId read(InvId id, Operation operation, String token, String object, Duration arrived, long t0, Duration now) {
         while (!ending.isEmpty() && ending.peek().forgetAt.compareTo(now) <= 0) drop(ending.peek());
         Object key = key(operation, token, object);
         if (key == null) return null;
         Entry entry = byKey.get(key);
-        if (entry != null && arrived.compareTo(entry.until) < 0) return entry.id;
+        // By either clock: guards against a run within the window where the Unix clock was set back meanwhile.
+        if (entry != null && (arrived.compareTo(entry.until) < 0 || t0 < entry.untilUnix)) return entry.id;
         if (!operation.tokened()) put(new Entry(key, id, operation, null, Duration.ofDays(10_000)));
         return null;
     }
 
-    /** Puts a tokened try into the table, or lets a read serve others, until then. */
-    public void keep(InvId id, Operation operation, String token, byte[] body, Duration until) {
-        if (operation.tokened()) put(new Entry(token, id, operation, body, until));
+    /** Puts a tokened try, which is dated {@code t0}, into the table until then. */
+    public void keep(InvId id, Operation operation, String token, byte[] body, long t0, Duration until) {
+        if (!operation.tokened()) return;
+        Entry entry = new Entry(token, id, operation, body, until.plus(SLACK));
+        if (t0 != UNDATED) entry.untilUnix = t0 + operation.window().plus(SLACK).toMillis();
+        put(entry);
     }
 
     /** A tokened try of a former process: it is known by the hash of its body, and its result is kept elsewhere. */
--- a/src/main/java/ochretiller/node/Host.java
+++ b/src/main/java/ochretiller/node/Host.java
@@ -151,7 +151,7 @@
 
     void arrived(Try inv) {
         Duration arrived = counted(inv.arrived);
-        InvId forerunner = keys.read(inv.id, inv.operation, inv.token, inv.object, arrived, now());
+        InvId forerunner = keys.read(inv.id, inv.operation, inv.token, inv.object, arrived, inv.t0, now());
         boolean differs = forerunner != null && keys.differs(forerunner, inv.operation, inv.body);
         if (adopted.contains(inv.rid)) {
             callers.fail(inv, Failure.RID_IN_USE); // guards against an answer with the result of another
@@ -435,7 +435,7 @@
     @Override
     public void keep(InvId id, Duration span) {
         Try inv = tries.get(id);
-        keys.keep(id, inv.operation, inv.token, inv.body, now().plus(span));
+        keys.keep(id, inv.operation, inv.token, inv.body, inv.t0, now().plus(span));
     }
 
     @Override
--- a/src/main/java/ochretiller/uwsgi/UwsgiFront.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiFront.java
@@ -14,6 +14,7 @@
 import java.util.logging.Logger;
 import ochretiller.front.Callers;
 import ochretiller.front.Try;
+import ochretiller.keys.Keys;
 import ochretiller.net.Connection;
 import ochretiller.net.Receiver;
 import ochretiller.net.Schedule;
@@ -85,8 +86,9 @@
         if (route.operation().tokened() && (key == null || key.isEmpty())) throw new UwsgiException(400, "no Idempotency-Key");
         if (key != null && key.length() > LONGEST_KEY) throw new UwsgiException(400, "a long Idempotency-Key");
         byte[] named = hash(caller);
+        long t0 = t0(vars.get(timeVar));
         callers.opened(new Try(callers.nextId(), rid(), route.operation(), route.kb(),
-            ByteBuffer.wrap(named).getLong() & Long.MAX_VALUE, arrived(vars.get(timeVar)),
+            ByteBuffer.wrap(named).getLong() & Long.MAX_VALUE, t0 == Keys.UNDATED ? schedule.now() : sinceStart.apply(t0), t0,
             key == null ? null : token(caller, method, route, key), null, request.body(), peer, number));
     }
 
@@ -101,10 +103,10 @@
         return query < 0 ? path : path.substring(0, query);
     }
 
-    private Duration arrived(String text) {
-        if (text == null || text.isEmpty()) return schedule.now();
+    private static long t0(String text) {
+        if (text == null || text.isEmpty()) return Keys.UNDATED;
         if (text.length() > 15 || !text.chars().allMatch(c -> c >= '0' && c <= '9')) throw new UwsgiException(400, "no time");
-        return sinceStart.apply(Long.parseLong(text));
+        return Long.parseLong(text);
     }
 
     /**
