Have handlers for SIGHUP and SIGTERM before anything is read

By reading: SIGHUP found its handler only once the configuration was read, and ended a server before that with code 129; SIGTERM found its hook only behind the listening, so that a request read in between was lost with the process, and during warm-up it ended with code 143. Lifecycle takes both first. Before there is a server SIGTERM ends it with code 0, as nothing was read and nothing is listened for; SIGHUP is kept until there is one, which then reads its configuration again. A start that fails keeps its code.

MainIT forces both with a pipe in place of the configuration: the program has come so far as to read it, and waits. Open: a SIGHUP between exec and the first line of Main still ends the JVM, before any code of this program; held back by the shell it would be ignored for good.

--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -12,7 +12,7 @@
 import ochretiller.commands.TryCommand;
 import ochretiller.fleet.peers.FleetKeys;
 import ochretiller.node.Configuration;
-import ochretiller.node.Hangup;
+import ochretiller.node.Lifecycle;
 import ochretiller.node.Logs;
 import ochretiller.node.Node;
 import ochretiller.operator.Operator;
@@ -88,24 +88,27 @@
     static int serve(@Option(names = "--config", description = CONFIG) Path file,
                      @Option(names = "--operator", description = OPERATOR) Path operatorFile) throws IOException {
         Logs.install();
+        Lifecycle lifecycle = Lifecycle.install();
+        try {
+            Node node = node(file, operatorFile);
+            lifecycle.serves(node);
+            node.listen();
+            node.run();
+            return 0;
+        } catch (IOException | RuntimeException e) {
+            lifecycle.failed();
+            throw e;
+        }
+    }
+
+    private static Node node(Path file, Path operatorFile) throws IOException {
         Supplier<Operator> read = () -> operatorFile == null ? Operator.NONE : OperatorFile.read(operatorFile);
         Operator operator = read.get();
         if (operator.jsonLog()) Logs.json();
         Node node = new Node(configuration(file), operator, read,
             operator.remember().map(remember -> disk(operator, remember.folder())).orElse(null));
-        Hangup.on(node::reload);
-        node.listen();
-        // The exit code of a drain is 0; without the halt it would be the signal's.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            try {
-                node.drain();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            Runtime.getRuntime().halt(0);
-        }));
-        node.run();
-        return 0;
+        node.prepare();
+        return node;
     }
 
     private static Disk disk(Operator operator, Path folder) {
--- a/src/main/java/ochretiller/commands/TryCommand.java
+++ b/src/main/java/ochretiller/commands/TryCommand.java
@@ -60,6 +60,7 @@
         Operator operator = operator();
         Node node = new Node(config, operator,
             operator.remember().map(remember -> new RealDisk(remember.folder())).orElse(null));
+        node.prepare();
         node.listen();
         Thread serving = new Thread(() -> {
             node.run();
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -216,13 +216,17 @@
         return configuration.memoryMb() * 1024L * 1024L;
     }
 
-    /** Listens; a failure to do so is the caller's to tell. */
-    public void listen() throws IOException {
+    /** All that is to be done before anything is listened for. */
+    public void prepare() throws IOException {
         if (recall != null) recall.start();
         if (auditor != null) auditor.start();
         operator.metrics().ifPresent(figures -> new MetricsFile(metrics, figures.file()).start(figures.every()));
         Choice unused = Settings.choice(configuration.settings(), new SplittableRandom(configuration.seed()), false);
         new WarmUp(unused).work(List.copyOf(configuration.operations().values()), WARM_UP);
+    }
+
+    /** Listens; a failure to do so is the caller's to tell. */
+    public void listen() throws IOException {
         network.listen("gateway", configuration.listen(), gateway::accepted);
         if (uwsgi != null) network.listen("uwsgi", operator.uwsgi().orElseThrow().listen(), uwsgi::accepted);
         link.connect();
--- a/src/test/java/ochretiller/CrashingServer.java
+++ b/src/test/java/ochretiller/CrashingServer.java
@@ -29,6 +29,7 @@
         String[] point = words[0].split(":");
         Node node = new Node(Path.of(words[1]), operator,
             new Crashing(new RealDisk(operator.remember().orElseThrow().folder()), point[0], Integer.parseInt(point[1])));
+        node.prepare();
         node.listen();
         node.run();
     }
--- a/src/test/java/ochretiller/Deployment.java
+++ b/src/test/java/ochretiller/Deployment.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -25,6 +26,8 @@
 final class Deployment implements AutoCloseable {
     final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
     final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+    /** All of the log since the start, whatever was taken from it. */
+    final List<String> said = new CopyOnWriteArrayList<>();
     final BlockingQueue<String> reports = new LinkedBlockingQueue<>();
     final StandIns outside = new StandIns("127.0.0.1", new int[3], heard::add, reports::add);
     final int port = freePort();
@@ -34,10 +37,16 @@
 
     Deployment() throws IOException { this(json -> json); }
 
-    Deployment(UnaryOperator<String> change) throws IOException {
+    Deployment(UnaryOperator<String> change) throws IOException { this(change, deployment -> { }, "exec sh deploy/serve.sh"); }
+
+    /** With stand-ins that are told what to play before the server is there, and a shell's way to start it. */
+    Deployment(UnaryOperator<String> change, Consumer<Deployment> play, String command) throws IOException {
         configure(change);
         operator = null;
-        read(start(config, "serve"));
+        play.accept(this);
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", command).redirectErrorStream(true);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        read(builder.start());
         await(log, "listens|ochretiller: ");
     }
 
@@ -67,10 +76,14 @@
     private void read(Process started) {
         process = started;
         log.clear();
+        said.clear();
         heard.clear();
         Daemon.start(() -> {
             try (BufferedReader lines = new BufferedReader(new InputStreamReader(started.getInputStream()))) {
-                for (String line = lines.readLine(); line != null; line = lines.readLine()) log.add(line);
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    said.add(line);
+                    log.add(line);
+                }
             }
         });
     }
@@ -139,6 +152,8 @@
         new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
 
+    long pid() { return process.pid(); }
+
     int exit() throws InterruptedException {
         if (!process.waitFor(10, TimeUnit.SECONDS)) throw new AssertionError("still runs");
         return process.exitValue();
--- a/src/test/java/ochretiller/MainIT.java
+++ b/src/test/java/ochretiller/MainIT.java
@@ -2,10 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import ochretiller.standin.Gateways;
 
@@ -88,4 +93,82 @@
             expect(Deployment.start(config, "serve"), 1, "ochretiller: ", "in use");
         }
     }
+
+    /** A configuration that is there only once somebody writes it: the program has come so far, and waits. */
+    private Path pipe() throws Exception {
+        Path pipe = folder.resolve("pipe");
+        assertThat(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor()).isZero();
+        return pipe;
+    }
+
+    private static Process unsized(Path config) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("java", "-XX:TieredStopAtLevel=1", "-jar", "target/ochretiller.jar", "serve")
+            .redirectErrorStream(true);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        return builder.start();
+    }
+
+    private static void signal(Process process, String name) throws Exception {
+        assertThat(new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor()).isZero();
+    }
+
+    @Test
+    void hangupBeforeThereIsAServerIsNoEndAndItsConfigurationIsReadAgain() throws Exception {
+        Path pipe = pipe();
+        int port = Deployment.freePort();
+        Process process = unsized(pipe);
+        try (BufferedReader log = process.inputReader()) {
+            try (Writer first = Files.newBufferedWriter(pipe)) { // opened once the program reads it
+                // What is read again, before or behind the listening, is a file of another kind.
+                Path next = Files.writeString(folder.resolve("next"), Gateways.config(port, 2, 3, 5));
+                Files.move(next, pipe, StandardCopyOption.REPLACE_EXISTING);
+                signal(process, "HUP");
+                first.write(Gateways.config(port, 2, 3, 4));
+            }
+            List<String> said = new ArrayList<>();
+            while (said.stream().noneMatch(line -> line.contains("takes the addresses"))) said.add(log.readLine());
+            signal(process, "TERM");
+            assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+            assertThat(process.exitValue()).isZero();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    @Test
+    void noticeToLeaveBeforeThereIsAServerEndsItWithoutListening() throws Exception {
+        Path pipe = pipe();
+        Process process = unsized(pipe);
+        try (Writer first = Files.newBufferedWriter(pipe)) {
+            signal(process, "TERM");
+            signal(process, "HUP");
+            said(process, 0);
+            first.flush(); // nothing was written: it has ended without a configuration
+        }
+    }
+
+    @Test
+    void failedStartKeepsItsCodeWhateverTheHooksDo() throws Exception {
+        expectWrong(unsized(config("{}")), "settings");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"\"memory_mb\":192|\"memory_mb\" : 96|96", "\"memory_mb\":192|\"memory_mb\":\t144 |144"})
+    void sizesAreThoseOfTheConfigurationWithoutAnotherProcess(String from, String to, int mb) throws Exception {
+        Path config = config(Gateways.config(1, 2, 3, 4).replace(from, to));
+        // Nothing but java is found on this path: where the shell needs help, the start fails.
+        Path java = Files.createDirectory(folder.resolve("bin" + mb));
+        Files.writeString(java.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertThat(java.resolve("java").toFile().setExecutable(true)).isTrue();
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "deploy/serve.sh").redirectErrorStream(true);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        builder.environment().put("PATH", java.toString());
+        expect(builder.start(), 0, "-Xmx" + (mb - 32) / 2 + "m ", "-Dochretiller.sizedForMb=" + mb);
+    }
+
+    @Test
+    void sizeThatTheShellReadsDifferentlyIsNamed() throws Exception {
+        String good = Gateways.config(1, 2, 3, 4);
+        expectWrong(Deployment.start(config(good.replace("\"memory_mb\":192", "\"memory_mb\":\n192")), "serve"), "memory_mb");
+    }
 }
--- a/src/test/java/ochretiller/SickDiskTest.java
+++ b/src/test/java/ochretiller/SickDiskTest.java
@@ -59,6 +59,7 @@
             outside.recordsPort(), outside.rosterPort()).replace("\"stop_ms\":2000", "\"stop_ms\":500"));
         node = new Node(config, new Operator(false, Optional.empty(), Optional.of(REMEMBER), Optional.empty(), List.of(),
             Optional.empty(), Optional.empty(), Operator.Drill.NONE), disk);
+        node.prepare();
         node.listen();
         Thread loop = new Thread(node::run, "loop");
         loop.setDaemon(true);
