Tell callers before a connection ends, read it to its end, answer what is owed

A flood of connections that say nothing still makes room at once: told ones that have not gone go before a newcomer is dropped.

--- a/src/main/java/ochretiller/front/Callers.java
+++ b/src/main/java/ochretiller/front/Callers.java
@@ -23,18 +23,27 @@
     private static final int SURPLUS = 4;
     /** Part of the limit that connections may take which have shown nothing yet. */
     private static final int NEWCOMERS = 4;
+    /** Part of the limit beyond which there is no time to tell those that have shown nothing. */
+    private static final int FLOODED = 2;
     /** How long a connection has to show something; a caller is owed an answer or a close within 3 s. */
     private static final Duration SHOWS = Duration.ofSeconds(2);
-    /** Newer ones still may have their first request on the way. */
+    /** Newer ones may have their first request on the way; as long has one that makes room to bring what crosses the word. */
     private static final Duration NEW = Duration.ofMillis(100);
+    /** How long a caller that was told has to end its side: twenty times what a request may cross such a word. */
+    private static final Duration TOLD = Duration.ofSeconds(1);
     /** How often silent connections are looked for. */
     private static final Duration SWEEP = Duration.ofMillis(100);
 
     private final Schedule schedule;
     private final int limit;
+    private final Duration longest;
     private final Consumer<Try> arrived;
     private final Consumer<Try> gone;
-    private final Set<Peer> peers = new LinkedHashSet<>();
+    /** Those that were not told to go, and those of them that have shown nothing yet; the oldest first. */
+    private final Set<Peer> staying = new LinkedHashSet<>();
+    private final Set<Peer> silent = new LinkedHashSet<>();
+    /** Those that were told, cannot be read any more, or are closing. */
+    private final Set<Peer> going = new LinkedHashSet<>();
     private final Map<String, Try> tries = new HashMap<>();
     private final AtomicInteger accepted = new AtomicInteger();
     private long lastId;
@@ -47,13 +56,15 @@
      * No connection yet.
      *
      * @param limit     connections that may be open, over all fronts
+     * @param longest   a caller waits no longer for anything, so half a message that is older is nobody's
      * @param idleAfter how long a connection may be silent at first
      * @param arrived   told of each try that is read
      * @param gone      told of each try whose caller is gone
      */
-    public Callers(Schedule schedule, int limit, Duration idleAfter, Consumer<Try> arrived, Consumer<Try> gone) {
+    public Callers(Schedule schedule, int limit, Duration longest, Duration idleAfter, Consumer<Try> arrived, Consumer<Try> gone) {
         this.schedule = schedule;
         this.limit = limit;
+        this.longest = longest;
         this.idleAfter = idleAfter;
         this.arrived = arrived;
         this.gone = gone;
@@ -75,34 +86,80 @@
         if (accepted.incrementAndGet() > limit + limit / SURPLUS) connection.drop(CloseCode.TOO_MANY);
         schedule.post(() -> {
             if (!connection.open()) return; // its end follows
-            peers.add(peer);
+            staying.add(peer);
+            silent.add(peer);
             makeRoom(peer);
-            if (leaving) peer.leaves();
+            if (leaving && peer.part(CloseCode.LEAVING)) goes(peer);
         });
         return peer;
     }
 
     /**
-     * Closes who can best be spared where many are open. Those that have shown nothing take a part of the table only,
-     * the oldest of them go first; then goes who has been silent longest. Where all are busy the newcomer is surplus.
+     * Ends who can best be spared where many are open. Those that have shown nothing take a part of the table only, the oldest
+     * of them go first; then goes who has been silent longest. Where all are busy the newcomer is surplus.
      */
     private void makeRoom(Peer newcomer) {
-        List<Peer> quiet = peers.stream().filter(peer -> peer != newcomer && peer.quiet()).toList();
-        List<Peer> silent = quiet.stream().filter(peer -> !peer.shown()).toList();
-        boolean full = peers.size() > limit;
-        if (silent.size() >= limit / NEWCOMERS || full && !silent.isEmpty() && aged(silent.get(0), NEW)) {
-            spare(silent.get(0));
-        } else if (full) {
-            Peer longest = quiet.stream().filter(peer -> peer.shown())
-                .min(Comparator.comparing(peer -> peer.connection.usedAt())).orElse(null);
-            if (longest != null) spare(longest);
-            else newcomer.makeSurplus();
+        // Guards against newcomers that are dropped unread for the sake of those that were told and have not gone yet.
+        if (accepted.get() > limit) going.stream().filter(peer -> peer.hurry(longest)).findFirst();
+        boolean full = staying.size() > limit;
+        if (silent.size() > limit / NEWCOMERS || full) {
+            Peer oldest = silent.stream().filter(this::quiet).findFirst().orElse(null);
+            if (oldest != null && (silent.size() > limit / NEWCOMERS || aged(oldest, NEW))) {
+                spare(oldest);
+                return;
+            }
+        }
+        if (!full) return;
+        Peer longest = staying.stream().filter(peer -> peer != newcomer && peer.shown() && quiet(peer))
+            .min(Comparator.comparing(peer -> peer.connection.usedAt())).orElse(null);
+        if (longest != null) release(longest, CloseCode.TOO_MANY, NEW);
+        else newcomer.makeSurplus();
+    }
+
+    /** A wave of callers that come back at once loses nothing by it: what crosses the word is answered. */
+    private void spare(Peer oldest) {
+        if (accepted.get() <= limit / FLOODED) {
+            release(oldest, CloseCode.TOO_MANY, NEW);
+        } else {
+            // A flood fills the table before it could be told.
+            goes(oldest);
+            oldest.connection.drop(CloseCode.TOO_MANY);
+        }
+    }
+
+    private boolean quiet(Peer peer) {
+        return peer.quiet(longest);
+    }
+
+    /** It has sent something good. */
+    void shows(Peer peer) {
+        silent.remove(peer);
+    }
+
+    /** It is none of those that stay. */
+    void goes(Peer peer) {
+        silent.remove(peer);
+        if (staying.remove(peer)) going.add(peer);
+    }
+
+    /**
+     * Ends one that nothing is open on. It is told first, where its protocol has a word for that, and what crosses the word is
+     * still answered: guards against a request that is on the way to a connection that rests. We close only if it does not.
+     */
+    private void release(Peer peer, CloseCode code, Duration patience) {
+        goes(peer);
+        if (!peer.part(code)) {
+            if (peer.shown()) peer.connection.close(code);
+            else peer.connection.drop(code); // nothing was ever written on it that could be lost
+        } else {
+            schedule.after(patience, () -> closeIfQuiet(peer, patience));
         }
     }
 
-    private void spare(Peer peer) {
-        peers.remove(peer);
-        peer.connection.close(CloseCode.TOO_MANY);
+    private void closeIfQuiet(Peer peer, Duration patience) {
+        if (!peer.connection.open()) return;
+        if (quiet(peer)) peer.close();
+        else schedule.after(patience, () -> closeIfQuiet(peer, patience));
     }
 
     private boolean aged(Peer peer, Duration age) {
@@ -111,7 +168,9 @@
 
     void ended(Peer peer) {
         accepted.decrementAndGet();
-        peers.remove(peer);
+        staying.remove(peer);
+        silent.remove(peer);
+        going.remove(peer);
         // A caller whose connection has ended is known to be gone.
         for (Try inv : List.copyOf(peer.open().values())) leave(inv);
     }
@@ -207,23 +266,37 @@
 
     private void sweep() {
         schedule.after(SWEEP, this::sweep);
-        for (Peer peer : new ArrayList<>(peers)) {
-            if (!peer.quiet()) continue; // guards against a close that loses what was just read and is not worked off yet
-            if (!peer.shown() && aged(peer, SHOWS)) peer.connection.close(CloseCode.SILENT);
-            else if (schedule.now().minus(peer.connection.usedAt()).compareTo(idleAfter) > 0) {
-                peer.connection.close(CloseCode.IDLE);
-            }
+        for (Peer peer : List.copyOf(staying)) {
+            if (!quiet(peer)) continue; // guards against a close that loses what was read and is not worked off yet
+            if (!peer.shown() && aged(peer, SHOWS)) release(peer, CloseCode.SILENT, NEW);
+            else if (schedule.now().minus(peer.connection.usedAt()).compareTo(idleAfter) > 0) release(peer, CloseCode.IDLE, TOLD);
         }
     }
 
     /** Asks callers to bring nothing more on the connections that are open. */
     public void leave() {
         leaving = true;
-        for (Peer peer : peers) peer.leaves();
+        for (Peer peer : List.copyOf(staying)) if (peer.part(CloseCode.LEAVING)) goes(peer);
+    }
+
+    /** Whether connections are open still. */
+    public boolean connected() {
+        return !staying.isEmpty() || !going.isEmpty();
+    }
+
+    /** Ends at once what callers have not ended. */
+    public void drop() {
+        for (Peer peer : all()) peer.connection.drop(CloseCode.LEAVING);
     }
 
     /** Closes what is open; all that was read has its answer. */
     public void close() {
-        for (Peer peer : new ArrayList<>(peers)) peer.connection.close(CloseCode.LEAVING);
+        for (Peer peer : all()) peer.connection.close(CloseCode.LEAVING);
+    }
+
+    private List<Peer> all() {
+        List<Peer> all = new ArrayList<>(staying);
+        all.addAll(going);
+        return all;
     }
 }
--- a/src/main/java/ochretiller/front/Peer.java
+++ b/src/main/java/ochretiller/front/Peer.java
@@ -19,6 +19,10 @@
     /** Health checks at work. */
     private int checks;
     private boolean inputEnded;
+    private boolean unreadable;
+    private boolean hurried;
+    /** Why it is to end: it was told so, or cannot be read any more; null while it stays. */
+    private CloseCode parting;
 
     protected Peer(Connection connection, Callers callers) {
         this.connection = connection;
@@ -35,9 +39,9 @@
     /** Writes that it is errored. */
     protected abstract void fails(Try inv, Failure why);
 
-    /** Asks, where its protocol has a word for it, to bring nothing more on this connection. */
-    protected void leaves() {
-        // most protocols have none
+    /** Asks to bring nothing more on this connection; false where its protocol has no word for that. */
+    protected boolean leaves() {
+        return false;
     }
 
     /** By its protocol nothing more is to come: it is closed once all is answered. */
@@ -48,6 +52,7 @@
     /** It has sent a request or a health check that was good. */
     public void shows() {
         shown = true;
+        callers.shows(this);
     }
 
     boolean shown() {
@@ -76,7 +81,12 @@
     }
 
     private boolean busy() {
-        return !open.isEmpty() || checks > 0;
+        return !open.isEmpty() || checks > 0 || waits();
+    }
+
+    /** What was read waits for its turn, since answers of its protocol come in the order of the requests. */
+    protected boolean waits() {
+        return false;
     }
 
     @Override
@@ -85,17 +95,67 @@
         settle();
     }
 
-    /** Nothing is open on it, and nothing that was read waits: a close loses nothing. */
-    boolean quiet() {
-        return !busy() && connection.quiet();
+    /**
+     * Nothing is open on it, nothing that was read waits, and no message that a caller may still wait for is half read: a close
+     * loses nothing. Where nothing was shown yet, half a message may be all that ever comes.
+     */
+    boolean quiet(Duration patience) {
+        Duration within = connection.within();
+        boolean writes = shown && within != null && callers.now().minus(within).compareTo(patience) < 0;
+        return !busy() && connection.quiet() && !writes;
+    }
+
+    /** It was told, or has ended by what it sent: it is none of those that stay. */
+    boolean parts() {
+        return parting != null;
+    }
+
+    /** Tells it once that nothing more may come; false where there is no word for that. */
+    boolean part(CloseCode why) {
+        if (parting != null) return true;
+        if (!leaves()) return false;
+        parting = why;
+        return true;
+    }
+
+    /** It had its time since it was told. */
+    void close() {
+        connection.close(parting);
+    }
+
+    /** Ends it at once, unless something is open on it or on the way to it; false where it stays for that, or has gone. */
+    boolean hurry(Duration patience) {
+        if (hurried || parting == null && connection.open() || !quiet(patience) || !connection.sent()) return false;
+        hurried = true;
+        connection.drop(parting == null ? CloseCode.TOO_MANY : parting);
+        return true;
+    }
+
+    /** Nothing more that it sends is read: what it is owed is answered, then it is closed. */
+    @Override
+    public boolean spoilt(CloseCode code) {
+        unreadable = true;
+        parting = code;
+        callers.goes(this);
+        settle();
+        return true;
+    }
+
+    /** Nothing that was read behind it counts. */
+    protected boolean unreadable() {
+        return unreadable;
     }
 
     /** Closes it where nothing more is to come and nothing is owed. */
     public void settle() {
         if (busy()) return;
-        if (inputEnded) connection.close(CloseCode.PEER_CLOSED);
-        else if (surplus) connection.close(CloseCode.TOO_MANY);
-        else if (done()) connection.close(CloseCode.ANSWERED);
+        CloseCode why = unreadable ? parting
+            : inputEnded ? parting == null ? CloseCode.PEER_CLOSED : parting
+            : surplus ? CloseCode.TOO_MANY
+            : done() ? CloseCode.ANSWERED : null;
+        if (why == null) return;
+        callers.goes(this);
+        connection.close(why);
     }
 
     @Override
--- a/src/main/java/ochretiller/gateway/Gateway.java
+++ b/src/main/java/ochretiller/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import ochretiller.net.CloseCode;
 import ochretiller.net.Connection;
 import ochretiller.net.Receiver;
+import ochretiller.text.BadInputException;
 
 /** The JSON-RPC front: what gateways say becomes tries and checks. */
 public final class Gateway {
@@ -58,12 +59,21 @@
             Level level = peer.faulty ? Level.FINE : Level.INFO;
             LOG.log(level, () -> "bad input from gateway " + peer.name() + ": " + e.code + ' ' + e.getMessage());
             peer.faulty = true;
-            if (message.id() == null) peer.drop(CloseCode.BAD_INPUT);
-            else peer.write(Rpc.fault(message.id(), e));
+            if (message.id() == null) {
+                peer.spoilt(CloseCode.BAD_INPUT);
+                return;
+            }
+            peer.write(Rpc.fault(message.id(), e));
             peer.settle();
         }
     }
 
+    /** What cannot be read came behind what could. */
+    void unreadable(RpcPeer peer, BadInputException fault) {
+        LOG.info(() -> "bad input from gateway " + peer.name() + ": " + fault.getMessage());
+        peer.spoilt(CloseCode.BAD_INPUT);
+    }
+
     private void ping(RpcPeer peer, Rpc.Message message) {
         if (message.id() == null) throw new RpcException(RpcException.REQUEST, "missing: id");
         Object full = message.params().getOrDefault("full", Boolean.FALSE);
--- a/src/main/java/ochretiller/gateway/RpcPeer.java
+++ b/src/main/java/ochretiller/gateway/RpcPeer.java
@@ -7,8 +7,8 @@
 import ochretiller.front.Failure;
 import ochretiller.front.Peer;
 import ochretiller.front.Try;
-import ochretiller.net.CloseCode;
 import ochretiller.net.Connection;
+import ochretiller.text.BadInputException;
 import ochretiller.text.Frames;
 
 /** One connection of a gateway. */
@@ -28,12 +28,28 @@
     @Override
     public Runnable received(byte[] bytes, int from, int to) {
         List<Rpc.Message> messages = new ArrayList<>(1);
-        frames.read(bytes, from, to, (line, body) -> messages.add(Rpc.read(line)));
-        return messages.isEmpty() ? null : () -> messages.forEach(message -> gateway.read(this, message));
+        BadInputException fault = null;
+        try {
+            frames.read(bytes, from, to, (line, body) -> messages.add(Rpc.read(line)));
+        } catch (BadInputException e) {
+            if (messages.isEmpty()) throw e;
+            fault = e; // guards against good requests that are lost with what follows them
+            connection.deafen();
+        }
+        BadInputException last = fault;
+        return messages.isEmpty() ? null : () -> {
+            messages.forEach(message -> gateway.read(this, message));
+            if (last != null) gateway.unreadable(this, last);
+        };
+    }
+
+    @Override
+    public boolean within() {
+        return frames.within();
     }
 
     boolean isOpen() {
-        return connection.open();
+        return connection.open() && !unreadable();
     }
 
     String name() {
@@ -44,10 +60,6 @@
         connection.write(text);
     }
 
-    void drop(CloseCode code) {
-        connection.drop(code);
-    }
-
     @Override
     protected void succeeds(Try inv, byte[] result, boolean replayed) {
         write(Rpc.result(inv.number, result, gateway.hint()));
@@ -64,7 +76,8 @@
     }
 
     @Override
-    protected void leaves() {
+    protected boolean leaves() {
         write(Rpc.SHUTDOWN);
+        return true;
     }
 }
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,7 +23,6 @@
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
-import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 
 /** Apache MINA with an IO processor for gateways and one for links. Its threads decode and enqueue; all else is the schedule's. */
@@ -54,7 +54,7 @@
     private final long memory;
     private final Set<Connection> dirty = new LinkedHashSet<>();
     private final Set<InetSocketAddress> refusing = ConcurrentHashMap.newKeySet();
-    private final List<NioSocketAcceptor> acceptors = new ArrayList<>();
+    private final List<Acceptor> acceptors = new ArrayList<>();
 
     /**
      * Neither listens nor connects yet.
@@ -83,7 +83,7 @@
 
     /** Listens on this address too, for callers of this kind; each connection gets its receiver on the network's thread. */
     public void listen(String kind, InetSocketAddress address, Function<Connection, Receiver> receivers) throws IOException {
-        NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, gateways);
+        Acceptor acceptor = new Acceptor(threads, gateways);
         acceptors.add(acceptor);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
@@ -98,7 +98,7 @@
 
     /** No new connection is taken; those that are open stay. */
     public void closeListeners() {
-        for (NioSocketAcceptor acceptor : acceptors) {
+        for (Acceptor acceptor : acceptors) {
             acceptor.setCloseOnDeactivation(false);
             acceptor.unbind();
         }
@@ -131,6 +131,10 @@
         LOG.info(() -> "connection " + kind + ' ' + peer + " ended: " + code);
     }
 
+    void after(Duration span, Runnable work) {
+        schedule.after(span, work);
+    }
+
     void dirty(Connection connection) {
         dirty.add(connection);
     }
@@ -138,7 +142,7 @@
     /** Gateways have left much unread, all together. */
     boolean crowded() {
         long unread = 0;
-        for (NioSocketAcceptor acceptor : acceptors) unread += acceptor.getScheduledWriteBytes();
+        for (Acceptor acceptor : acceptors) unread += acceptor.getScheduledWriteBytes();
         return unread > memory / UNREAD_PART;
     }
 
@@ -169,7 +173,7 @@
         @Override
         @SuppressWarnings("unchecked")
         public void sessionCreated(IoSession session) {
-            Connection connection = new Connection(session, Network.this, schedule.now());
+            Connection connection = new Connection(session, Network.this, fixed != null, schedule.now());
             Function<Connection, Receiver> receivers = fixed != null ? fixed
                 : (Function<Connection, Receiver>) session.removeAttribute(Function.class);
             session.setAttribute(Connection.class, connection);
@@ -191,18 +195,23 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             Connection connection = connection(session);
-            if (!connection.open()) return;
+            if (!connection.open() || connection.deaf()) return;
             IoBuffer buffer = (IoBuffer) message;
             int from = buffer.arrayOffset() + buffer.position();
+            Receiver receiver = receiver(session);
             Runnable work;
             try {
-                work = receiver(session).received(buffer.array(), from, from + buffer.remaining());
+                work = receiver.received(buffer.array(), from, from + buffer.remaining());
             } catch (BadInputException e) {
                 LOG.info(() -> "bad input from " + kind(session) + " " + connection.peer() + ": " + e.getMessage());
-                connection.drop(CloseCode.BAD_INPUT);
+                if (fixed == null) connection.drop(CloseCode.BAD_INPUT);
+                else spoilt(connection, receiver, CloseCode.BAD_INPUT);
                 return;
             }
+            Duration since = connection.within();
+            connection.within(!receiver.within() ? null : since == null || work != null ? schedule.now() : since);
             if (work == null) return;
+            boolean flooded = false;
             int bytes = buffer.remaining();
             int mine = connection.queued(bytes);
             long all = allBehind.addAndGet(bytes);
@@ -211,8 +220,8 @@
                 // here, since MINA's own suspend and resume lose each other's changes when two threads call them.
                 behind.acquireUninterruptibly();
             } else if (mine > MOST_BEHIND || mine > SOME_BEHIND && all > memory / BEHIND_PART) {
-                // Guards against a flood that would hold up the reading of all others: whoever has most goes.
-                connection.drop(CloseCode.FLOOD);
+                // Guards against a flood that would hold up the reading of all others: whoever has most is read no further.
+                flooded = true;
             }
             schedule.post(() -> {
                 if (fixed == null) behind.release();
@@ -221,11 +230,21 @@
                 connection.used(schedule.now());
                 work.run();
             });
+            if (flooded) spoilt(connection, receiver, CloseCode.FLOOD);
+        }
+
+        /** Guards against answers that are lost with a caller's connection: what was read of it before is worked off first. */
+        private void spoilt(Connection connection, Receiver receiver, CloseCode code) {
+            connection.deafen();
+            schedule.post(() -> {
+                if (!receiver.spoilt(code)) connection.drop(code);
+            });
         }
 
         @Override
         public void inputClosed(IoSession session) {
             session.suspendRead(); // guards against a selector that wakes for this end again and again
+            connection(session).inputEnds();
             Receiver receiver = receiver(session);
             schedule.post(receiver::inputEnded);
         }
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -56,6 +56,8 @@
     private static final Duration ENDING = Duration.ofMillis(150);
     /** A request may cross the word to leave for 50 ms; twice that is waited before connections are closed. */
     private static final Duration CROSSING = Duration.ofMillis(100);
+    /** Time for the process to end in once its threads have nothing to do any more. */
+    private static final Duration EXIT = Duration.ofMillis(70);
     /** Time for the last of what runs to be answered, and for what crossed to be turned away. */
     private static final Duration CLOSING = CROSSING.plusMillis(100);
     private static final Duration LOOK = Duration.ofMillis(20);
@@ -124,7 +126,7 @@
         records = new Records(loop, network, configuration.records(), configuration.sockets() / CALLS_PART);
         roster = new Roster(loop, configuration.roster(), configuration.name());
         health = new Health(link::trial);
-        callers = new Callers(loop, configuration.sockets() / 2,
+        callers = new Callers(loop, configuration.sockets() / 2, patience(),
             configuration.settings().span("familyInfo.idleNs", Duration.ZERO), this::arrived, inv -> {
                 if (host != null) host.gone(inv);
             });
@@ -146,6 +148,10 @@
         if (auditor != null || fleet != null && fleet.versions() != null) callers.ends(this::answered);
     }
 
+    private Duration patience() {
+        return configuration.operations().values().stream().map(Operation::clientTimeout).max(Duration::compareTo).orElse(LOOK);
+    }
+
     /** No mark lives longer: the longest window of an operation and its client timeout, once for each end. */
     private Duration longest() {
         return configuration.operations().values().stream().filter(Operation::tokened)
@@ -419,6 +425,18 @@
         if (auditor != null) auditor.close();
         if (fleet != null) fleet.close();
         network.flush();
+        Duration kill = until.plus(ENDING).minus(EXIT);
+        loop.after(LOOK, () -> endWhenRead(kill));
+    }
+
+    /** Guards against last answers that are cut off: callers have them once they have ended their side. */
+    private void endWhenRead(Duration until) {
+        if (callers.connected() && loop.now().compareTo(until) < 0) {
+            loop.after(LOOK, () -> endWhenRead(until));
+            return;
+        }
+        callers.drop();
+        // In the next gathering: each connection leaves its line before.
         loop.after(LOOK, () -> {
             LOG.info("ends");
             network.stop();
--- a/src/main/java/ochretiller/text/Frames.java
+++ b/src/main/java/ochretiller/text/Frames.java
@@ -75,6 +75,11 @@
         keep(buffer, at, end, looked, cut);
     }
 
+    /** A message has begun and is not whole yet. */
+    public boolean within() {
+        return filled > 0;
+    }
+
     private Slice line(byte[] buffer, int at, int feed) {
         boolean ended = feed > at && buffer[feed - 1] == '\r';
         if (strict && !ended) throw new BadInputException("line without CR LF");
--- a/src/main/java/ochretiller/uwsgi/UwsgiPeer.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiPeer.java
@@ -59,6 +59,11 @@
         return items.isEmpty() ? null : () -> come(items);
     }
 
+    @Override
+    public boolean within() {
+        return decoder.within();
+    }
+
     private void come(List<Item> items) {
         if (!connection.open()) return;
         waiting.addAll(items);
@@ -153,8 +158,13 @@
         write(new Answer(status, Map.of("Content-Type", "text/plain"), text(why.text)));
     }
 
+    @Override
+    protected boolean waits() {
+        return !waiting.isEmpty();
+    }
+
     @Override
     protected boolean done() {
-        return answered && waiting.isEmpty();
+        return answered;
     }
 }
