--- a/src/main/java/ochretiller/front/Callers.java
+++ b/src/main/java/ochretiller/front/Callers.java
@@ -166,8 +166,12 @@
         return schedule.now().minus(peer.madeAt()).compareTo(age) > 0;
     }
 
-    void ended(Peer peer) {
+    /** On the network's thread: guards against newcomers that are dropped while the ends of others wait behind a crowd of them. */
+    void closed() {
         accepted.decrementAndGet();
+    }
+
+    void ended(Peer peer) {
         staying.remove(peer);
         silent.remove(peer);
         going.remove(peer);
@@ -279,9 +283,9 @@
         for (Peer peer : List.copyOf(staying)) if (peer.part(CloseCode.LEAVING)) goes(peer);
     }
 
-    /** Whether connections are open still. */
-    public boolean connected() {
-        return !staying.isEmpty() || !going.isEmpty();
+    /** How many have not ended. */
+    public int connections() {
+        return staying.size() + going.size();
     }
 
     /** Ends at once what callers have not ended. */
--- a/src/main/java/ochretiller/front/Peer.java
+++ b/src/main/java/ochretiller/front/Peer.java
@@ -158,6 +158,11 @@
         connection.close(why);
     }
 
+    @Override
+    public void closed() {
+        callers.closed();
+    }
+
     @Override
     public void ended(CloseCode code) {
         callers.ended(this);
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -254,6 +254,7 @@
             Connection connection = connection(session);
             Receiver receiver = receiver(session);
             connection.reason(CloseCode.PEER_CLOSED);
+            receiver.closed();
             schedule.post(() -> {
                 CloseCode code = connection.code();
                 receiver.ended(code);
--- a/src/main/java/ochretiller/net/Receiver.java
+++ b/src/main/java/ochretiller/net/Receiver.java
@@ -21,6 +21,11 @@
     /** On the one thread: the peer sends no more, but may still read. */
     void inputEnded();
 
+    /** On the network's thread: the connection's descriptor is free. */
+    default void closed() {
+        // most count none
+    }
+
     /** On the one thread: the connection has ended. */
     void ended(CloseCode code);
 }
--- a/src/main/java/ochretiller/node/Node.java
+++ b/src/main/java/ochretiller/node/Node.java
@@ -431,7 +431,7 @@
 
     /** Guards against last answers that are cut off: callers have them once they have ended their side. */
     private void endWhenRead(Duration until) {
-        if (callers.connected() && loop.now().compareTo(until) < 0) {
+        if (callers.connections() > 0 && loop.now().compareTo(until) < 0) {
             loop.after(LOOK, () -> endWhenRead(until));
             return;
         }
