Start where there is no records service, since no operation calls below

A site where nothing calls has no such service and its configuration no address. The address is needed only where an operation calls; a call that is asked for all the same is known not to have run. RecordsTest and MainIT have both.

--- a/src/main/java/ochretiller/node/Configuration.java
+++ b/src/main/java/ochretiller/node/Configuration.java
@@ -21,6 +21,7 @@
  * What a server is told at its start, checked before it listens.
  *
  * @param listen  where gateways connect
+ * @param records where calls go; null where no operation calls
  * @param stop    how long after the notice to leave the process is killed
  * @param sockets descriptors that may be held
  */
@@ -62,14 +63,15 @@
         Lookup settings = new Nested(asObject(object.get("settings")));
         NEEDED.forEach(settings::text);
         Configuration read = new Configuration(top.text("name"), address(top, "listen"), address(top, "processor"),
-            address(top, "records"), address(top, "roster"), seed(top.text("seed")),
+            top.has("records") ? address(top, "records") : null, address(top, "roster"), seed(top.text("seed")),
             Duration.ofMillis(atLeast(top, "stop_ms", 1)), (int) atLeast(top, "limits.memory_mb", LEAST_MB),
             (int) atLeast(top, "limits.sockets", FEWEST_SOCKETS), settings);
         for (int i = 0; i < settings.whole("classes.count"); i++) {
             atLeast(settings, "classes." + i + ".giveUpNs", 1);
         }
         Settings.choice(settings, new SplittableRandom(read.seed), false); // a wrong setting is told by its name
-        read.operations();
+        // A site where nothing calls below has no such service; elsewhere it cannot be done without.
+        if (read.records == null && read.operations().values().stream().anyMatch(Operation::calls)) top.text("records");
         return read;
     }
 
--- a/src/main/java/ochretiller/records/Records.java
+++ b/src/main/java/ochretiller/records/Records.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import ochretiller.model.CallEnd;
 import ochretiller.net.CloseCode;
@@ -69,6 +70,7 @@
     /**
      * No connection is made yet.
      *
+     * @param address where the service is, or null where there is none
      * @param most connections that may be open at once; calls beyond them wait for one
      */
     public Records(Schedule schedule, Network network, InetSocketAddress address, int most) {
@@ -91,7 +93,7 @@
 
     /** The service goes on at another address: calls that were written may end where they are, no other follows them. */
     public void move(InetSocketAddress to) {
-        if (to.equals(address)) return;
+        if (Objects.equals(to, address)) return;
         address = to;
         // Guards against calls that wait for connections to where nobody is any more.
         age++;
@@ -102,6 +104,10 @@
 
     /** Gives idle connections to calls that wait, and makes more where there are too few. */
     private void next() {
+        if (address == null) {
+            schedule.post(this::notReached); // there is no such service: no call ran
+            return;
+        }
         while (!unsent.isEmpty() && !idle.isEmpty()) idle.poll().send(unsent.iterator().next());
         while (connecting < unsent.size() && ends.size() + connecting < most) {
             connecting++;
--- a/src/test/java/ochretiller/MainIT.java
+++ b/src/test/java/ochretiller/MainIT.java
@@ -66,6 +66,13 @@
         expect(Deployment.start(config(Gateways.config(1, 2, 3, 4)), "check"), 0, "the configuration of n1 is good");
     }
 
+    @Test
+    void recordsServiceIsNeededOnlyWhereAnOperationCalls() throws Exception {
+        String without = Gateways.config(1, 2, 3, 4).replace("\"records\":", "\"x\":");
+        expect(Deployment.start(config(without.replace("[true,true]", "[false,false]")), "check"), 0, "the configuration of n1 is good");
+        expectWrong(Deployment.start(config(without.replace("[true,true]", "[false,true]")), "check"), "records");
+    }
+
     @Test
     void absentOrUnreadableConfigurationIsNamed() throws Exception {
         expectWrong(Deployment.start(null, "serve"), "EDGE_CONFIG");
--- a/src/test/java/ochretiller/records/RecordsTest.java
+++ b/src/test/java/ochretiller/records/RecordsTest.java
@@ -108,6 +108,16 @@
         }
     }
 
+    @Test
+    void callWhereThereIsNoServiceIsKnownNotToHaveRun() throws Exception {
+        Records records = new Records(loop, network, null, 8);
+        records.move(null);
+        call(records, "a");
+        loop.one();
+        assertThat(ends).containsExactly(CallEnd.Result.NOT_REACHED);
+        network.stop();
+    }
+
     @Test
     void connectionThatBreaksUnderACallProvesNothingAndARefusedOneThatItNeverRan() throws Exception {
         ServerSocket service = service(50);
