Check all operations whatever else a configuration has; drop what nobody asks

Since the records service may be absent, the operations were read only where it is: 'check' passed a configuration whose operation is wrong, and only 'serve' named it. They are read in any case, as before; MainIT asks check for it. Peer.parts was used by nobody.

--- a/src/main/java/ochretiller/front/Peer.java
+++ b/src/main/java/ochretiller/front/Peer.java
@@ -105,11 +105,6 @@
         return !busy() && connection.quiet() && !writes;
     }
 
-    /** It was told, or has ended by what it sent: it is none of those that stay. */
-    boolean parts() {
-        return parting != null;
-    }
-
     /** Tells it once that nothing more may come; false where there is no word for that. */
     boolean part(CloseCode why) {
         if (parting != null) return true;
--- a/src/main/java/ochretiller/node/Configuration.java
+++ b/src/main/java/ochretiller/node/Configuration.java
@@ -71,7 +71,8 @@
         }
         Settings.choice(settings, new SplittableRandom(read.seed), false); // a wrong setting is told by its name
         // A site where nothing calls below has no such service; elsewhere it cannot be done without.
-        if (read.records == null && read.operations().values().stream().anyMatch(Operation::calls)) top.text("records");
+        boolean calls = read.operations().values().stream().anyMatch(Operation::calls); // a wrong one is told in any case
+        if (read.records == null && calls) top.text("records");
         return read;
     }
 
--- a/src/test/java/ochretiller/MainIT.java
+++ b/src/test/java/ochretiller/MainIT.java
@@ -66,6 +66,11 @@
         expect(Deployment.start(config(Gateways.config(1, 2, 3, 4)), "check"), 0, "the configuration of n1 is good");
     }
 
+    @Test
+    void wrongOperationIsNamedByTheCheckToo() throws Exception {
+        expectWrong(Deployment.start(config(Gateways.config(1, 2, 3, 4).replace("\"effect\":\"pure\",", "")), "check"), "effect");
+    }
+
     @Test
     void recordsServiceIsNeededOnlyWhereAnOperationCalls() throws Exception {
         String without = Gateways.config(1, 2, 3, 4).replace("\"records\":", "\"x\":");
