--- a/src/main/java/ochretiller/Main.java
+++ b/src/main/java/ochretiller/Main.java
@@ -134,6 +134,9 @@
         } catch (IOException | RuntimeException e) {
             lifecycle.onStartFailed();
             throw e;
+        } catch (Error e) {
+            lifecycle.onFatalError(e);
+            throw e;
         }
     }
 
--- a/src/main/java/ochretiller/node/EventLoop.java
+++ b/src/main/java/ochretiller/node/EventLoop.java
@@ -65,7 +65,8 @@
     }
 
     /**
-     * Runs batches until {@link #stop} is called.
+     * Runs batches until {@link #stop} is called or a task throws an {@link Error}, which is passed
+     * on: the state that the loop owns may then be inconsistent.
      *
      * @param afterBatch called after each batch to write its output
      */
