Report the outcome of a run only after its start has returned

Callers of a server that remembers results saw it end as new keys filled its store: up to 423 bookings that it had read got no answer, and their connections closed. The log had one line, a StackOverflowError.

Cause: DurableIdempotency.writeMarker refuses a marker within the call when the store takes no new key (full, stalled, failed, damaged). InvocationExecutor then reported the outcome inside the start of the run, against what execute and ServerActions.startRun promise. Handling an outcome starts the next queued invocation, so each one in the queue added a level of calls to a stack of 256 KB.

Change: a step that reports an outcome while execute is on the stack is posted to the event loop. This holds for refused markers, denied claims, a lease that ends within a start, and runs that end at once. Calls, pools and the store post already; tests hold them to it, and the ports say which callbacks may come early.

Why this works: the depth of the stack no longer depends on the queue. The slot stays taken until the posted step, so each turn of the loop starts as many runs as there are slots, as before.

--- a/src/main/java/ochretiller/node/IdempotencyStore.java
+++ b/src/main/java/ochretiller/node/IdempotencyStore.java
@@ -25,6 +25,8 @@
     /**
      * Stores the in-flight marker of an invocation that is about to run. One that is not keyed
      * needs none.
+     *
+     * @param listener called once, possibly before this method returns
      */
     void writeMarker(RequestAttempt attempt, MarkerListener listener);
 
--- a/src/main/java/ochretiller/node/InvocationExecutor.java
+++ b/src/main/java/ochretiller/node/InvocationExecutor.java
@@ -45,7 +45,9 @@
      * @param onOutcome receives the outcome once, never before this method has returned
      */
     void execute(RequestAttempt attempt, Consumer<RunOutcome> onOutcome) {
-        new Execution(attempt, onOutcome).start();
+        Execution execution = new Execution(attempt, onOutcome);
+        execution.start();
+        execution.isStarted = true;
     }
 
     /** Asks the backend to stop a run; the backend still reports the outcome. */
@@ -67,6 +69,10 @@
         private final RequestAttempt attempt;
         private final Consumer<RunOutcome> onOutcome;
         private RunState state = RunState.ADMITTED;
+
+        /** Whether {@link InvocationExecutor#execute} has returned. */
+        private boolean isStarted;
+
         private int pendingStores = OUTCOME_STORES;
         private boolean isOutcomeReported;
 
@@ -87,8 +93,7 @@
             attempt.setRunning(true);
             features.pools().reserveSlot(attempt.operation);
             if (!features.rollout().mayRun(attempt)) {
-                // Posted, since the admission controller is still executing the start action.
-                resources.scheduler().post(this::abandon);
+                afterStart(this::abandon);
             } else if (attempt.operation.isKeyed()) {
                 enter(RunState.CLAIMING);
                 features.claims().claim(attempt, this);
@@ -97,6 +102,21 @@
             }
         }
 
+        /**
+         * Runs a step that reports the outcome, but not while {@link InvocationExecutor#execute} is
+         * on the stack. A claim, a marker or a run may end within the call that starts it, and the
+         * admission controller starts the next queued invocation when an outcome is reported:
+         * without the detour over the event loop each queued invocation would be started inside the
+         * start of the one before, until the stack is exhausted.
+         */
+        private void afterStart(Runnable step) {
+            if (isStarted) {
+                step.run();
+            } else {
+                resources.scheduler().post(step);
+            }
+        }
+
         @Override
         public void onClaimGranted() {
             writeMarker();
@@ -104,7 +124,7 @@
 
         @Override
         public void onClaimDenied() {
-            abandon();
+            afterStart(this::abandon);
         }
 
         private void writeMarker() {
@@ -122,12 +142,12 @@
             }
             features.idempotencyStore()
                     .onRunFinished(attempt, Status.NOT_DISPATCHED, null, () -> {});
-            abandonClaimed();
+            afterStart(this::abandonClaimed);
         }
 
         @Override
         public void onMarkerFailed() {
-            abandonClaimed();
+            afterStart(this::abandonClaimed);
         }
 
         private void abandonClaimed() {
@@ -159,6 +179,10 @@
 
         @Override
         public void onRunFinished(Status status, Duration elapsed, byte[] result) {
+            afterStart(() -> finish(status, elapsed, result));
+        }
+
+        private void finish(Status status, Duration elapsed, byte[] result) {
             enter(RunState.STORING_OUTCOME);
             resources.records().cancel(attempt.requestId);
             // Both stores write concurrently; the answer waits for both.
--- a/src/main/java/ochretiller/node/RunClaims.java
+++ b/src/main/java/ochretiller/node/RunClaims.java
@@ -9,7 +9,11 @@
  * only. Event loop thread.
  */
 interface RunClaims {
-    /** Claims the key of an invocation that is about to run. */
+    /**
+     * Claims the key of an invocation that is about to run.
+     *
+     * @param listener called once, possibly before this method returns
+     */
     void claim(RequestAttempt attempt, ClaimListener listener);
 
     /** Releases the claim of a run that was not started; does nothing if there is no claim. */
--- a/src/main/java/ochretiller/records/RecordsClient.java
+++ b/src/main/java/ochretiller/records/RecordsClient.java
@@ -74,7 +74,8 @@
      * @param requestId the request id of the run that makes the call; a run has one call at a time
      * @param timeout how long to wait for the reply
      * @param body the call's body
-     * @param listener receives the outcome, unless the call is cancelled by {@link #cancel}
+     * @param listener receives the outcome, never before this method has returned, unless the call
+     *     is cancelled by {@link #cancel}
      */
     public void call(String requestId, Duration timeout, byte[] body, CallListener listener) {
         PendingCall call = new PendingCall(requestId, timeout, body, scheduler.now(), listener);
--- a/src/main/java/ochretiller/server/RunActions.java
+++ b/src/main/java/ochretiller/server/RunActions.java
@@ -30,7 +30,7 @@
      * Makes the call that a run waits for.
      *
      * @param timeout time after which the call is abandoned
-     * @param onOutcome receives the outcome once
+     * @param onOutcome receives the outcome once, never before this method has returned
      */
     void startCall(InvocationId id, Duration timeout, Function<CallOutcome, Action> onOutcome);
 
--- a/src/test/java/ochretiller/node/FatalErrorHandlerTest.java
+++ b/src/test/java/ochretiller/node/FatalErrorHandlerTest.java
@@ -54,14 +54,13 @@
         logger.setUseParentHandlers(true);
     }
 
-    private static void recurseForever() {
-        recurseForever();
+    private static int recurse(int depth) {
+        return depth < 0 ? depth : recurse(depth + 1) + 1;
     }
 
     private static StackOverflowError stackOverflow() {
         try {
-            recurseForever();
-            throw new AssertionError("the recursion ended");
+            throw new AssertionError("the recursion ended at " + recurse(0));
         } catch (StackOverflowError e) {
             return e;
         }
@@ -76,8 +75,7 @@
         assertThat(logged.getLevel()).isEqualTo(Level.SEVERE);
         assertThat(logged.getMessage()).contains("thread loop");
         assertThat(logged.getThrown().getStackTrace()).hasSize(64);
-        assertThat(logged.getThrown().getStackTrace()[63].getMethodName())
-                .isEqualTo("recurseForever");
+        assertThat(logged.getThrown().getStackTrace()[63].getMethodName()).isEqualTo("recurse");
     }
 
     @Test
--- a/src/test/java/ochretiller/node/InvocationExecutorTest.java
+++ b/src/test/java/ochretiller/node/InvocationExecutorTest.java
@@ -2,6 +2,7 @@
 
 import static ochretiller.node.AttemptFixture.ORDER;
 import static ochretiller.node.AttemptFixture.READ;
+import static ochretiller.node.ExecutionFakes.RESULT;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
@@ -9,14 +10,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
-import ochretiller.execution.RunBackend;
-import ochretiller.execution.RunRequest;
 import ochretiller.frontend.RequestAttempt;
 import ochretiller.idempotency.IdempotencyCache;
 import ochretiller.model.Operation;
 import ochretiller.model.RunOutcome.Status;
-import ochretiller.net.Scheduler;
+import ochretiller.node.ExecutionFakes.FakeClaims;
+import ochretiller.node.ExecutionFakes.FakePools;
+import ochretiller.node.ExecutionFakes.FakeRollout;
+import ochretiller.node.ExecutionFakes.FakeStore;
 import ochretiller.records.RecordsClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -24,12 +25,10 @@
 
 /** Checks the order of the steps of a run, including after each step that fails. */
 class InvocationExecutorTest {
-    private static final byte[] RESULT = "done".getBytes();
-
     private final List<String> events = new ArrayList<>();
-    private final FakeClaims claims = new FakeClaims();
+    private final FakeClaims claims = new FakeClaims(events);
     private final FakeRollout rollout = new FakeRollout();
-    private final FakePools pools = new FakePools();
+    private final FakePools pools = new FakePools(events);
     private AttemptFixture fixture;
     private FakeStore store;
     private AttemptTable attempts;
@@ -38,7 +37,7 @@
     @BeforeEach
     void start() throws Exception {
         fixture = new AttemptFixture(events);
-        store = new FakeStore(fixture.loop);
+        store = new FakeStore(fixture.loop, events);
         AdmissionClock clock = new AdmissionClock(fixture.loop, Duration.ZERO);
         IdempotencyCache cache = new IdempotencyCache(1_000, Duration.ZERO);
         attempts = new AttemptTable(fixture.connections, cache, clock);
@@ -167,6 +166,59 @@
         assertThat(events).containsExactly("reserve", "cancel", "outcome NOT_DISPATCHED");
     }
 
+    /** Guards against a queue whose runs end inside one another's start until the stack is full. */
+    @Test
+    void markerThatFailsAtOnceIsReportedAfterExecuteHasReturned() {
+        claims.grantsAtOnce = true;
+        store.failsAtOnce = true;
+        RequestAttempt attempt = execute(ORDER);
+        assertThat(events).containsExactly("reserve", "claim", "mark");
+        assertThat(attempt.isRunning()).isTrue();
+        fixture.loop.runPosted();
+        assertThat(events)
+                .containsExactly(
+                        "reserve", "claim", "mark", "release", "cancel", "outcome NOT_DISPATCHED");
+        assertThat(attempt.isRunning()).isFalse();
+    }
+
+    /** Guards against the same recursion through claims. */
+    @Test
+    void claimThatIsDeniedAtOnceIsReportedAfterExecuteHasReturned() {
+        claims.deniesAtOnce = true;
+        execute(ORDER);
+        assertThat(events).containsExactly("reserve", "claim");
+        fixture.loop.runPosted();
+        assertThat(events).containsExactly("reserve", "claim", "cancel", "outcome NOT_DISPATCHED");
+    }
+
+    /** Guards against the same recursion through a lease that ends as a run is started. */
+    @Test
+    void leaseLostWhileARunIsStartedIsReportedAfterExecuteHasReturned() {
+        claims.grantsAtOnce = true;
+        store.isDurableAtOnce = true;
+        rollout.losesLeaseAfterNextCheck = true;
+        execute(ORDER);
+        assertThat(events).containsExactly("reserve", "claim", "mark", "store NOT_DISPATCHED");
+        fixture.loop.runPosted();
+        assertThat(events)
+                .endsWith("store NOT_DISPATCHED", "release", "cancel", "outcome NOT_DISPATCHED");
+    }
+
+    /** Guards against the same recursion through a backend, whose result must not be lost. */
+    @Test
+    void runThatFinishesAtOnceIsReportedAfterExecuteHasReturned() {
+        claims.grantsAtOnce = true;
+        store.isDurableAtOnce = true;
+        pools.finishesAtOnce = true;
+        execute(ORDER);
+        assertThat(events).containsExactly("reserve", "claim", "mark", "start");
+        fixture.loop.runPosted();
+        assertThat(events).endsWith("store SUCCEEDED", "share SUCCEEDED", "outcome SUCCEEDED");
+        store.onStored.run();
+        claims.onStored.accept(true);
+        assertThat(events).last().isEqualTo("answer done");
+    }
+
     @Test
     void repeatedStepThrowsIllegalStateException() {
         startOrder();
@@ -182,114 +234,4 @@
         events.clear();
         return attempt;
     }
-
-    private final class FakeClaims implements RunClaims {
-        private ClaimListener listener;
-        private Consumer<Boolean> onStored;
-
-        @Override
-        public void claim(RequestAttempt attempt, ClaimListener claimListener) {
-            events.add("claim");
-            listener = claimListener;
-        }
-
-        @Override
-        public void release(RequestAttempt attempt) {
-            events.add("release");
-        }
-
-        @Override
-        public void onRunFinished(
-                RequestAttempt attempt, Status status, byte[] result, Consumer<Boolean> stored) {
-            events.add("share " + status);
-            onStored = stored;
-        }
-    }
-
-    private final class FakeStore extends VolatileIdempotency {
-        private MarkerListener listener;
-        private Runnable onStored;
-
-        FakeStore(Scheduler scheduler) {
-            super(scheduler);
-        }
-
-        @Override
-        public void writeMarker(RequestAttempt attempt, MarkerListener markerListener) {
-            events.add("mark");
-            listener = markerListener;
-        }
-
-        @Override
-        public void onRunFinished(
-                RequestAttempt attempt, Status status, byte[] result, Runnable stored) {
-            events.add("store " + status);
-            onStored = stored;
-        }
-    }
-
-    private static final class FakeRollout extends NoRollout {
-        private boolean hasLease = true;
-
-        @Override
-        public boolean mayRun(RequestAttempt attempt) {
-            return hasLease;
-        }
-    }
-
-    /** Runs all operations in one pool, so that the processor is never used. */
-    private final class FakePools implements WorkerPools, RunBackend {
-        private RunListener listener;
-
-        @Override
-        public Optional<String> poolOf(Operation operation) {
-            return Optional.of("pool");
-        }
-
-        @Override
-        public int capacity(String pool) {
-            return 1;
-        }
-
-        @Override
-        public int freeSlots(String pool) {
-            return 1;
-        }
-
-        @Override
-        public void reserveSlot(Operation operation) {
-            events.add("reserve");
-        }
-
-        @Override
-        public void cancelReservation(Operation operation) {
-            events.add("cancel");
-        }
-
-        @Override
-        public RunBackend backend() {
-            return this;
-        }
-
-        @Override
-        public Runnable prepareReload(ServerConfiguration reloaded) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void close() {
-            // nothing is open
-        }
-
-        @Override
-        public void startRun(RunRequest request, RunListener runListener) {
-            events.add("start");
-            listener = runListener;
-        }
-
-        @Override
-        public void cancelRun(String requestId) {
-            events.add("stop");
-        }
-    }
 }
--- a/src/test/java/ochretiller/records/RecordsClientTest.java
+++ b/src/test/java/ochretiller/records/RecordsClientTest.java
@@ -126,6 +126,23 @@
         network.stop();
     }
 
+    /** Guards against calls that end within their start, each making the next one. */
+    @Test
+    void callThatCannotBeMadeEndsAfterItsStartHasReturned() throws Exception {
+        ServerSocket closed = service(1);
+        closed.close();
+        List<RecordsClient> clients =
+                List.of(new RecordsClient(loop, network, null, 8), client(closed));
+        for (RecordsClient records : clients) {
+            outcomes.clear();
+            call(records, "a");
+            assertThat(outcomes).isEmpty();
+            loop.runNext();
+            assertThat(outcomes).containsExactly(CallOutcome.Status.UNREACHABLE);
+        }
+        network.stop();
+    }
+
     @Test
     void brokenConnectionEndsTheCallAsResetAndARefusedOneAsUnreachable() throws Exception {
         ServerSocket service = service(50);
