Start a test's server on another port if its free port was taken meanwhile

Need: the fixture picks a free port, closes it, and starts the server some 0.3 s later. With two suites running at once, ServeIT.bodyOverTheLimitAndMissingTokenAreInvalid failed once with no command at the fake processor within 10 s. A server links only after it has bound its port, and the fixture took 'cannot listen on' for a start.

Change: on that line the fixture picks another port and starts again. Tests of an address in use start the program without this fixture.

Measured: traced by reading, the collision itself was not reproduced.

--- a/src/test/java/ochretiller/Deployment.java
+++ b/src/test/java/ochretiller/Deployment.java
@@ -27,6 +27,8 @@
  * which were written from the protocol documentation.
  */
 final class Deployment implements AutoCloseable {
+    private static final String PORT_IN_USE = "ochretiller: cannot listen on";
+
     final BlockingQueue<String> received = new LinkedBlockingQueue<>();
     final BlockingQueue<String> log = new LinkedBlockingQueue<>();
 
@@ -36,7 +38,10 @@
     final BlockingQueue<String> reports = new LinkedBlockingQueue<>();
     final FakeServices services =
             new FakeServices("127.0.0.1", new int[3], received::add, reports::add);
-    final int port = freePort();
+
+    /** Address of the server; another one if a process has taken it before the server started. */
+    int port = freePort();
+
     private final Path config = Files.createTempFile("node", ".json");
     private final Path operator;
     private Process process;
@@ -60,10 +65,18 @@
         configure(configChange);
         operator = null;
         setUp.accept(this);
+        while (startWith(command).contains(PORT_IN_USE)) {
+            port = freePort();
+            configure(configChange);
+        }
+    }
+
+    /** Starts the server with a shell command, and returns the line that ends its start. */
+    private String startWith(String command) throws IOException {
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", command).redirectErrorStream(true);
         builder.environment().put("EDGE_CONFIG", config.toString());
         readOutput(builder.start());
-        await(log, "listens|ochretiller: ");
+        return await(log, "listens|ochretiller: ");
     }
 
     /** Starts the server with an operators' file; {@code setUp} is called before the start. */
