--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# The work of one box hangs, and it hears late or not at all of tries that were given up.
+# Bad clients send hundreds of requests at once beside the usual gateways.
 # Needs the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves the disruption out.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 set -eu
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-exec java -cp review/target-2/classes review2.LateGiveUps "$folder/record.txt"
+exec java -cp review/target-2/classes review2.RudeClients "$folder/record.txt"
