--- a/review/src-2/review2/FloodCrash.java
+++ b/review/src-2/review2/FloodCrash.java
@@ -9,7 +9,7 @@
 final class FloodCrash {
     private static final int MEMORY_MB = 192;
     private static final int SOCKETS = 1024;
-    private static final int CLIENTS = 500;
+    private static final int CLIENTS = 600;
     private static final int REQUESTS_AT_ONCE = 400;
     private static final int LENGTH_MS = 15_000;
 
