--- a/review/src-2/review2/FloodCrash.java
+++ b/review/src-2/review2/FloodCrash.java
@@ -11,7 +11,7 @@
     private static final int SOCKETS = 1024;
     private static final int CLIENTS = 600;
     private static final int REQUESTS_AT_ONCE = 400;
-    private static final int LENGTH_MS = 15_000;
+    private static final int LENGTH_MS = 30_000;
 
     private FloodCrash() {}
 
