Replay a known retry on a surplus connection instead of throttling it

A client whose order had run, and whose answer was lost, got -32014 ("never ran") for its retry while other clients held all connections: ClientConnections.addAttempt throttled attempts on surplus connections before their token was looked up. An attempt whose token this server knows now takes the path of each retry, before and after the processor is available; both frontends share it.

--- a/src/main/java/ochretiller/frontend/ClientConnections.java
+++ b/src/main/java/ochretiller/frontend/ClientConnections.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import ochretiller.model.InvocationId;
 import ochretiller.net.CloseCode;
 import ochretiller.net.ConnectionHandler;
@@ -21,6 +22,7 @@
     private final ConnectionTable table;
     private final Consumer<RequestAttempt> onArrived;
     private final Consumer<RequestAttempt> onAborted;
+    private final Predicate<RequestAttempt> isKnownRetry;
     private final Map<String, RequestAttempt> attempts = new HashMap<>();
     private long lastId;
     private int openAttemptCount;
@@ -36,6 +38,8 @@
      * @param idleTimeout initial value for {@link #setIdleTimeout}
      * @param onArrived called with each attempt that was read
      * @param onAborted called with each attempt whose client no longer waits
+     * @param isKnownRetry whether an attempt repeats one that this server knows, which may have
+     *     run; it is passed on even from a surplus connection
      */
     public ClientConnections(
             Scheduler scheduler,
@@ -43,11 +47,13 @@
             Duration longestWait,
             Duration idleTimeout,
             Consumer<RequestAttempt> onArrived,
-            Consumer<RequestAttempt> onAborted) {
+            Consumer<RequestAttempt> onAborted,
+            Predicate<RequestAttempt> isKnownRetry) {
         this.scheduler = scheduler;
         this.table = new ConnectionTable(scheduler, limit, longestWait, idleTimeout);
         this.onArrived = onArrived;
         this.onAborted = onAborted;
+        this.isKnownRetry = isKnownRetry;
     }
 
     /**
@@ -112,14 +118,17 @@
         return new InvocationId(++lastId);
     }
 
-    /** Registers an attempt that was read; throttles it at once on a surplus connection. */
+    /**
+     * Registers an attempt that was read. On a surplus connection it is throttled at once, unless
+     * it repeats a known attempt: a throttled response says that nothing was executed.
+     */
     public void addAttempt(RequestAttempt attempt) {
         ClientConnection peer = attempt.clientConnection;
         peer.markValidMessage();
         peer.openAttempts().put(attempt.number, attempt);
         attempts.put(attempt.requestId, attempt);
         openAttemptCount++;
-        if (peer.isSurplus()) {
+        if (peer.isSurplus() && !isKnownRetry.test(attempt)) {
             throttle(attempt, Duration.ZERO, false); // another server may have capacity
         } else {
             onArrived.accept(attempt);
--- a/src/main/java/ochretiller/node/AdmissionSession.java
+++ b/src/main/java/ochretiller/node/AdmissionSession.java
@@ -61,6 +61,11 @@
         action.execute(actions);
     }
 
+    @Override
+    public boolean isKnownRetry(RequestAttempt attempt) {
+        return attempt.token != null && cache.findByToken(attempt.token).isPresent();
+    }
+
     @Override
     public void onRequestRead(RequestAttempt attempt) {
         Optional<InvocationId> original =
--- a/src/main/java/ochretiller/node/RequestHandler.java
+++ b/src/main/java/ochretiller/node/RequestHandler.java
@@ -5,6 +5,11 @@
 
 /** Handles client requests, before or after the processor is available. Event loop thread. */
 interface RequestHandler {
+    /**
+     * Returns whether a request repeats a keyed one that this server knows and that may have run.
+     */
+    boolean isKnownRetry(RequestAttempt attempt);
+
     /** Handles a request that was just read. */
     void onRequestRead(RequestAttempt attempt);
 
--- a/src/main/java/ochretiller/node/ServerNode.java
+++ b/src/main/java/ochretiller/node/ServerNode.java
@@ -121,7 +121,8 @@
                         longestClientTimeout(),
                         configuration.settings().duration("familyInfo.idleNs", Duration.ZERO),
                         this::onRequestRead,
-                        this::onClientDisconnected);
+                        this::onClientDisconnected,
+                        attempt -> requestHandler().isKnownRetry(attempt));
         return new ServerResources(loop, network, connections, health, processor, records);
     }
 
--- a/src/main/java/ochretiller/node/StartupRequestHandler.java
+++ b/src/main/java/ochretiller/node/StartupRequestHandler.java
@@ -32,6 +32,11 @@
         this.store = store;
     }
 
+    @Override
+    public boolean isKnownRetry(RequestAttempt attempt) {
+        return store.findPreviousRun(attempt.token).isPresent();
+    }
+
     @Override
     public void onRequestRead(RequestAttempt attempt) {
         Optional<IdempotencyRecord> previous = store.findPreviousRun(attempt.token);
--- a/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
+++ b/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
@@ -138,7 +138,13 @@
     void listen() throws IOException {
         clientConnections =
                 new ClientConnections(
-                        loop, LIMIT, LONGEST_WAIT, IDLE_TIMEOUT, arrived::add, aborted::add);
+                        loop,
+                        LIMIT,
+                        LONGEST_WAIT,
+                        IDLE_TIMEOUT,
+                        arrived::add,
+                        aborted::add,
+                        attempt -> false);
         try (var free = new java.net.ServerSocket(0)) {
             port = free.getLocalPort();
         }
--- a/src/test/java/ochretiller/node/AttemptFixture.java
+++ b/src/test/java/ochretiller/node/AttemptFixture.java
@@ -95,7 +95,8 @@
                         SECOND.multipliedBy(4),
                         SECOND.multipliedBy(60),
                         attempt -> {},
-                        attempt -> {});
+                        attempt -> {},
+                        attempt -> false);
         int port;
         try (ServerSocket unusedPort = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = unusedPort.getLocalPort();
