--- a/src/main/java/ochretiller/admission/AdmissionController.java
+++ b/src/main/java/ochretiller/admission/AdmissionController.java
@@ -156,7 +156,7 @@
             limits.calls().remove(tracked); // its run is closed when it ends
         } else {
             state.queue().remove(tracked);
-            state.idempotency().removeWaitingRetry(tracked);
+            tracked.stopAwaiting();
             gate.discardEntry(server, tracked);
             state.registry().remove(tracked);
         }
--- a/src/main/java/ochretiller/admission/AdmissionGate.java
+++ b/src/main/java/ochretiller/admission/AdmissionGate.java
@@ -58,8 +58,7 @@
         } else if (original.get().hasState(State.INDETERMINATE)) {
             responder.fail(server, retry); // the failed run may have had its effect
         } else {
-            retry.awaitOriginal();
-            original.get().addWaitingRetry(retry);
+            retry.awaitOriginal(original.get());
         }
     }
 
--- a/src/main/java/ochretiller/admission/DeadlineEnforcer.java
+++ b/src/main/java/ochretiller/admission/DeadlineEnforcer.java
@@ -59,7 +59,7 @@
         boolean isDue = now.compareTo(lastAnswerAt(end)) >= 0;
         if (isWaitingToStart(tracked) && (isDue || cannotStartInTime(tracked, now))) {
             state.queue().remove(tracked);
-            state.idempotency().removeWaitingRetry(tracked);
+            tracked.stopAwaiting();
             gate.reject(server, tracked, false);
         } else if (isDue) {
             failAtDeadline(server, tracked);
@@ -82,9 +82,8 @@
             return true;
         }
         return tracked.isAwaitingOriginal()
-                && state.idempotency()
-                        .findOriginal(tracked)
-                        .filter(original -> original.hasState(State.PENDING))
+                && tracked.awaitedEntry()
+                        .filter(awaited -> awaited.hasState(State.PENDING))
                         .isPresent();
     }
 
@@ -99,7 +98,7 @@
 
     private void failAtDeadline(ServerActions server, TrackedInvocation tracked) {
         // Includes a retry whose original attempt has started, which must not be rejected.
-        state.idempotency().removeWaitingRetry(tracked);
+        tracked.stopAwaiting();
         responder.fail(server, tracked);
         if (tracked.isRunning()) {
             limits.cancellation().cancel(server, tracked);
--- a/src/main/java/ochretiller/admission/IdempotencyTable.java
+++ b/src/main/java/ochretiller/admission/IdempotencyTable.java
@@ -106,9 +106,4 @@
         entry.transitionTo(IdempotencyEntry.State.DISCARDED);
         liveByExpiry.remove(entry);
     }
-
-    /** Removes a retry from those that wait for its original attempt. */
-    void removeWaitingRetry(TrackedInvocation retry) {
-        findOriginal(retry).ifPresent(entry -> entry.removeWaitingRetry(retry));
-    }
 }
--- a/src/main/java/ochretiller/admission/TrackedInvocation.java
+++ b/src/main/java/ochretiller/admission/TrackedInvocation.java
@@ -5,6 +5,7 @@
 import static ochretiller.time.Durations.ofSeconds;
 
 import java.time.Duration;
+import java.util.Optional;
 import ochretiller.model.Invocation;
 import ochretiller.model.InvocationId;
 import ochretiller.model.Operation;
@@ -45,6 +46,10 @@
     private final Duration completionDeadline;
     private final ClientOperation clientOperation;
     private State state = State.QUEUED;
+
+    /** The entry of the attempt that a retry waits for; empty if it waits for none. */
+    private Optional<IdempotencyEntry> awaitedEntry = Optional.empty();
+
     private boolean isStarted;
     private boolean isAnswered;
     private Duration startedAt = Duration.ZERO;
@@ -123,16 +128,35 @@
 
     /** Marks it as waiting in the admission queue. */
     void enqueue() {
+        stopAwaiting();
         state = State.QUEUED;
     }
 
-    /** Marks it as waiting for the end of the attempt that it repeats. */
-    void awaitOriginal() {
+    /**
+     * Makes it wait for the end of the attempt that it repeats. If that attempt never ran, this may
+     * be called again with the entry of a later attempt that was admitted in its place.
+     */
+    void awaitOriginal(IdempotencyEntry entry) {
+        stopAwaiting();
         state = State.AWAITING_ORIGINAL;
+        awaitedEntry = Optional.of(entry);
+        entry.addWaitingRetry(this);
+    }
+
+    /** Removes it from the retries that wait for an attempt, if it is one of them. */
+    void stopAwaiting() {
+        awaitedEntry.ifPresent(entry -> entry.removeWaitingRetry(this));
+        awaitedEntry = Optional.empty();
+    }
+
+    /** Returns the entry of the attempt that it waits for; empty if it waits for none. */
+    Optional<IdempotencyEntry> awaitedEntry() {
+        return awaitedEntry;
     }
 
     /** Marks it as being answered with the stored result of the attempt that it repeats. */
     void startReplay() {
+        stopAwaiting();
         state = State.REPLAYING;
     }
 
--- a/src/test/java/ochretiller/admission/AdmissionGateTest.java
+++ b/src/test/java/ochretiller/admission/AdmissionGateTest.java
@@ -122,4 +122,17 @@
         server.now = SECOND.multipliedBy(20);
         assertThat(server.receive(old)).containsExactly("throttleFinally 1");
     }
+
+    // Guards against a retry that is forgotten by its client, yet admitted later: its host then no
+    // longer knows it.
+    @Test
+    void abandonedRetryThatWaitedForASecondAttemptIsNeverAdmitted() {
+        server.occupyBothCores();
+        server.receive(1, ORDER);
+        server.receiveRetry(2, ORDER, 1);
+        server.receiveRetry(3, ORDER, 1);
+        assertThat(server.disconnectClient(1)).containsExactly("removeEntry 1", "putEntry 2");
+        assertThat(server.disconnectClient(3)).isEmpty();
+        assertThat(server.disconnectClient(2)).containsExactly("removeEntry 2");
+    }
 }
