Schedule the next tick also when a tick fails

The next round is scheduled in a finally. DispatcherTest.tickContinuesAfterAFailedOne fails on the code before.

--- a/src/main/java/ochretiller/admission/AdmissionController.java
+++ b/src/main/java/ochretiller/admission/AdmissionController.java
@@ -168,13 +168,16 @@
 
     private Action onTick(ResourceGauges gauges) {
         return server -> {
-            adaptLimits(server.now(), gauges);
-            deadlines.enforceAll(server);
-            shedder.shed(server);
-            calls.dispatchCalls(server);
-            dispatcher.dispatchQueued(server);
-            advertise(server, gauges);
-            scheduleTick(server);
+            try {
+                adaptLimits(server.now(), gauges);
+                deadlines.enforceAll(server);
+                shedder.shed(server);
+                calls.dispatchCalls(server);
+                dispatcher.dispatchQueued(server);
+                advertise(server, gauges);
+            } finally {
+                scheduleTick(server); // one failed tick must not be the last one
+            }
         };
     }
 
--- a/src/test/java/ochretiller/admission/AdmissionFixture.java
+++ b/src/test/java/ochretiller/admission/AdmissionFixture.java
@@ -50,6 +50,9 @@
     Duration now = Duration.ZERO;
     boolean acceptsIdempotencyEntries = true;
 
+    /** Whether the host throws an exception from each start of a run. */
+    boolean isFaulty;
+
     /** Names of the worker pools, by the operations that run in them. */
     final Map<Operation, String> pools = new HashMap<>();
 
@@ -173,6 +176,9 @@
 
     @Override
     public void startRun(InvocationId id, Function<RunOutcome, Action> onOutcome) {
+        if (isFaulty) {
+            throw new IllegalStateException("faulty host");
+        }
         runs.put(id, onOutcome);
         log("startRun", id);
         immediateRunStatus.ifPresent(
--- a/src/test/java/ochretiller/admission/DispatcherTest.java
+++ b/src/test/java/ochretiller/admission/DispatcherTest.java
@@ -1,8 +1,10 @@
 package ochretiller.admission;
 
+import static ochretiller.admission.AdmissionFixture.SECOND;
 import static ochretiller.admission.SampleOperations.ORDER;
 import static ochretiller.admission.SampleOperations.READ;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.Optional;
 import ochretiller.model.RunOutcome.Status;
@@ -42,4 +44,21 @@
         server.freePoolSlots = 1;
         assertThat(server.endRun(1, Status.SUCCEEDED)).containsExactly("startRun 2");
     }
+
+    // Guards against a server whose periodic work ends for good when one round of it fails.
+    @Test
+    void tickContinuesAfterAFailedOne() {
+        server.pools.put(READ, "reads");
+        server.freePoolSlots = 0;
+        server.receive(1, READ);
+        server.freePoolSlots = 1;
+        server.isFaulty = true;
+        assertThatThrownBy(() -> server.advanceTo(SECOND.dividedBy(2)))
+                .isInstanceOf(IllegalStateException.class);
+        server.isFaulty = false;
+        server.freePoolSlots = 0;
+        assertThat(server.receive(2, READ)).isEmpty();
+        server.freePoolSlots = 1;
+        assertThat(server.advanceTo(SECOND)).contains("startRun 2");
+    }
 }
