--- a/src/main/java/ochretiller/admission/AdmissionGate.java
+++ b/src/main/java/ochretiller/admission/AdmissionGate.java
@@ -80,8 +80,9 @@
     }
 
     /**
-     * Removes the pending entry, if any, of an attempt that never ran. The first retry that waited
-     * for the attempt is admitted in its place, and the others wait for that retry.
+     * Removes the pending entry, if any, of an attempt that never ran. Of the retries that waited
+     * for the attempt, the first that can be admitted takes its place, and the later ones wait for
+     * that retry.
      */
     void discardEntry(ServerActions server, TrackedInvocation tracked) {
         Optional<IdempotencyEntry> entry =
@@ -94,19 +95,23 @@
         List<TrackedInvocation> retries = entry.get().takeWaitingRetries();
         state.idempotency().discard(entry.get());
         server.removeIdempotencyEntry(tracked.id());
+        Optional<IdempotencyEntry> successor = Optional.empty();
         for (TrackedInvocation retry : retries) {
-            Optional<IdempotencyEntry> successor =
-                    state.idempotency()
-                            .find(retries.get(0).id())
-                            .filter(found -> !found.hasState(State.DISCARDED));
             if (successor.isPresent()) {
                 followOriginal(server, retry, successor);
             } else {
                 admit(server, retry);
+                successor = findUndiscarded(retry); // empty if it was rejected
             }
         }
     }
 
+    private Optional<IdempotencyEntry> findUndiscarded(TrackedInvocation tracked) {
+        return state.idempotency()
+                .find(tracked.id())
+                .filter(entry -> !entry.hasState(State.DISCARDED));
+    }
+
     /** Queues an invocation, or rejects it if it must not or cannot run. */
     private void admit(ServerActions server, TrackedInvocation tracked) {
         Duration now = server.now();
--- a/src/test/java/ochretiller/admission/AdmissionGateTest.java
+++ b/src/test/java/ochretiller/admission/AdmissionGateTest.java
@@ -6,6 +6,7 @@
 import static ochretiller.admission.SampleOperations.READ;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import ochretiller.model.Invocation;
 import ochretiller.model.RunOutcome.Status;
 import org.junit.jupiter.api.Test;
@@ -135,4 +136,19 @@
         assertThat(server.disconnectClient(3)).isEmpty();
         assertThat(server.disconnectClient(2)).containsExactly("removeEntry 2");
     }
+
+    // Guards against two runs of one order: of three waiting retries the first is too late, and the
+    // other two were both admitted.
+    @Test
+    void onlyOneRetryIsAdmittedIfTheFirstOneIsTooLate() {
+        server.now = SECOND.multipliedBy(10);
+        server.occupyBothCores();
+        server.receive(1, ORDER);
+        Duration longAgo = server.now.minus(SECOND.multipliedBy(2));
+        server.receive(invocation(2, ORDER).retryOf(1).arrivedAt(longAgo).build());
+        server.receiveRetry(3, ORDER, 1);
+        server.receiveRetry(4, ORDER, 1);
+        assertThat(server.disconnectClient(1))
+                .containsExactly("removeEntry 1", "throttleFinally 2", "putEntry 3");
+    }
 }
