Keep deadline checks of open invocations only, with one timer for the next

The checks now stand in DeadlineQueue, which InvocationRegistry empties with the invocation; the host has a timer for the next check.

--- a/src/main/java/ochretiller/admission/AdmissionController.java
+++ b/src/main/java/ochretiller/admission/AdmissionController.java
@@ -77,7 +77,7 @@
             gate.decide(server, tracked);
             shedder.shed(server);
             dispatcher.dispatchQueued(server);
-            deadlines.scheduleTimers(server, tracked);
+            deadlines.scheduleChecks(server, tracked);
         };
     }
 
--- a/src/main/java/ochretiller/admission/DeadlineEnforcer.java
+++ b/src/main/java/ochretiller/admission/DeadlineEnforcer.java
@@ -1,9 +1,11 @@
 package ochretiller.admission;
 
+import static ochretiller.time.Durations.isAfter;
 import static ochretiller.time.Durations.min;
 import static ochretiller.time.Durations.timeUntil;
 
 import java.time.Duration;
+import java.util.Optional;
 import ochretiller.admission.IdempotencyEntry.State;
 import ochretiller.server.ServerActions;
 
@@ -19,6 +21,9 @@
     private final AdmissionGate gate;
     private final Responder responder;
 
+    /** The check that the latest timer was set for; empty if no timer is needed. */
+    private Optional<Duration> timerAt = Optional.empty();
+
     DeadlineEnforcer(
             AdmissionState state,
             CapacityLimits limits,
@@ -32,14 +37,48 @@
         this.responder = responder;
     }
 
-    /** Schedules the deadline checks of an invocation that was just read. */
-    void scheduleTimers(ServerActions server, TrackedInvocation tracked) {
-        scheduleCheck(server, tracked, tracked.completionDeadline());
-        scheduleCheck(server, tracked, lastAnswerAt(tracked.invocation().deadline()));
+    /** Schedules the deadline checks of an invocation that was just read, if it is still open. */
+    void scheduleChecks(ServerActions server, TrackedInvocation tracked) {
+        if (!state.registry().contains(tracked)) {
+            return;
+        }
+        DeadlineQueue checks = state.registry().deadlines();
+        checks.add(tracked, tracked.completionDeadline());
+        checks.add(tracked, lastAnswerAt(tracked.invocation().deadline()));
+        setTimer(server);
+    }
+
+    /** Sets a timer for the next check, unless there is one that fires no later. */
+    private void setTimer(ServerActions server) {
+        Optional<Duration> next = state.registry().deadlines().nextAt();
+        boolean isSet =
+                timerAt.isPresent() && next.isPresent() && !isAfter(timerAt.get(), next.get());
+        if (next.isEmpty() || isSet) {
+            return;
+        }
+        timerAt = next;
+        Duration at = next.get();
+        server.schedule(timeUntil(at, server.now()), gauges -> host -> onTimer(host, at));
+    }
+
+    private void onTimer(ServerActions server, Duration at) {
+        if (timerAt.equals(Optional.of(at))) {
+            timerAt = Optional.empty();
+        }
+        try {
+            enforceDue(server);
+        } finally {
+            setTimer(server); // one failed check must not be the last one
+        }
     }
 
-    private void scheduleCheck(ServerActions server, TrackedInvocation tracked, Duration at) {
-        server.schedule(timeUntil(at, server.now()), gauges -> host -> enforce(host, tracked));
+    private void enforceDue(ServerActions server) {
+        DeadlineQueue checks = state.registry().deadlines();
+        for (Optional<TrackedInvocation> due = checks.pollDue(server.now());
+                due.isPresent();
+                due = checks.pollDue(server.now())) {
+            enforce(server, due.get());
+        }
     }
 
     /** Checks all open invocations, in the order in which they were read. */
--- a/src/main/java/ochretiller/admission/InvocationRegistry.java
+++ b/src/main/java/ochretiller/admission/InvocationRegistry.java
@@ -16,6 +16,7 @@
 final class InvocationRegistry {
     private final Map<InvocationId, TrackedInvocation> openInvocations = new LinkedHashMap<>();
     private final Set<ExecutionSite> workerPools = new LinkedHashSet<>();
+    private final DeadlineQueue deadlines = new DeadlineQueue();
     private final MemoryBudget memory;
 
     InvocationRegistry(MemoryBudget memory) {
@@ -40,10 +41,16 @@
     /** Removes a finished invocation and releases its memory. Does nothing if it is not open. */
     void remove(TrackedInvocation invocation) {
         if (openInvocations.remove(invocation.id()) != null) {
+            deadlines.remove(invocation);
             memory.release(invocation.invocation().memoryKb(), invocation.isStarted());
         }
     }
 
+    /** Returns when the open invocations are to be checked against their deadlines. */
+    DeadlineQueue deadlines() {
+        return deadlines;
+    }
+
     boolean contains(TrackedInvocation invocation) {
         return openInvocations.containsKey(invocation.id());
     }
--- a/src/test/java/ochretiller/admission/AdmissionFixture.java
+++ b/src/test/java/ochretiller/admission/AdmissionFixture.java
@@ -127,6 +127,11 @@
         return execute(controller().onEntryRestored(new InvocationId(id), expiresAt, status));
     }
 
+    /** Returns the number of timers that have not fired. */
+    int timerCount() {
+        return timers.values().stream().mapToInt(List::size).sum();
+    }
+
     /** Advances the time, fires all timers due until then, and returns their actions. */
     List<String> advanceTo(Duration time) {
         if (!isStarted) {
--- a/src/test/java/ochretiller/admission/DeadlineEnforcerTest.java
+++ b/src/test/java/ochretiller/admission/DeadlineEnforcerTest.java
@@ -1,6 +1,7 @@
 package ochretiller.admission;
 
 import static ochretiller.admission.AdmissionFixture.SECOND;
+import static ochretiller.admission.InvocationBuilder.invocation;
 import static ochretiller.admission.SampleOperations.LOOKUP;
 import static ochretiller.admission.SampleOperations.ORDER;
 import static ochretiller.admission.SampleOperations.READ;
@@ -8,6 +9,7 @@
 
 import java.time.Duration;
 import ochretiller.model.CallOutcome;
+import ochretiller.model.Invocation;
 import ochretiller.model.RunOutcome;
 import org.junit.jupiter.api.Test;
 
@@ -69,6 +71,24 @@
                 .doesNotContain("fail 2");
     }
 
+    // Guards against memory that grows with the rate of a flood: each answered invocation left two
+    // timers behind until its client's timeout.
+    @Test
+    void answeredInvocationsLeaveNoTimers() {
+        Invocation old = invocation(1, READ).build();
+        server.now = SECOND.multipliedBy(20);
+        for (int i = 0; i < 1_000; i++) {
+            assertThat(server.receive(old)).containsExactly("throttleFinally 1");
+        }
+        server.receive(2, ORDER);
+        server.endRun(2, RunOutcome.Status.SUCCEEDED);
+        for (long id = 3; id < 1_000; id++) {
+            server.receiveRetry(id, ORDER, 2);
+            server.endRun(id, RunOutcome.Status.SUCCEEDED);
+        }
+        assertThat(server.timerCount()).isLessThan(10);
+    }
+
     @Test
     void retryOfRestoredRunWithUnknownOutcomeWaitsAndFailsWhenDue() {
         server.restore(-1, SECOND.multipliedBy(9), null);
