Decode client input in turns and hold all of it to a share of the memory

I/O threads parsed and queued without a bound what they read, measured in bytes as read, and closed any connection with 8 KiB waiting once all together were high. Now input waits as bytes, two reads a connection; the event loop decodes it in turns; beyond that nothing is read and TCP slows the client. What decoders hold is counted as held; above the share the longest holder over an equal share is closed as FLOOD. Batches of the loop are bounded.

Reads of client sessions are suspended and resumed on MINA's I/O thread only (ClientProcessor); the old note that this cannot be done from two threads holds, and is why the change is made there.

--- a/src/main/java/ochretiller/frontend/ClientConnection.java
+++ b/src/main/java/ochretiller/frontend/ClientConnection.java
@@ -10,8 +10,8 @@
 
 /**
  * One client connection and its open requests. Each frontend has a subclass that decodes its
- * protocol and writes the responses. Confined to the event loop, except for {@link #decode}, {@link
- * #hasPartialMessage} and {@link #onDescriptorReleased}, which are called on the I/O thread.
+ * protocol and writes the responses. Confined to the event loop, except for {@link
+ * #onDescriptorReleased}, which is called on the I/O thread.
  */
 public abstract class ClientConnection implements ConnectionHandler {
     /** The underlying TCP connection. */
--- a/src/main/java/ochretiller/frontend/ClientConnections.java
+++ b/src/main/java/ochretiller/frontend/ClientConnections.java
@@ -65,6 +65,15 @@
         answerListener = listener;
     }
 
+    /**
+     * Returns the number of connections that may hold a file descriptor at once.
+     *
+     * @param limit the maximum number of open connections
+     */
+    public static int maxDescriptors(int limit) {
+        return ConnectionTable.maxDescriptors(limit);
+    }
+
     Duration now() {
         return scheduler.now();
     }
--- a/src/main/java/ochretiller/frontend/ConnectionTable.java
+++ b/src/main/java/ochretiller/frontend/ConnectionTable.java
@@ -83,9 +83,14 @@
         scheduler.runAfter(SWEEP_INTERVAL, this::sweep);
     }
 
+    /** Returns the number of connections that may hold a file descriptor at once. */
+    static int maxDescriptors(int limit) {
+        return limit + limit / SURPLUS_DIVISOR;
+    }
+
     /** Adds an accepted connection, or drops it above the limit. Called on the I/O thread. */
     void accept(ClientConnection peer) {
-        if (descriptorCount.incrementAndGet() > limit + limit / SURPLUS_DIVISOR) {
+        if (descriptorCount.incrementAndGet() > maxDescriptors(limit)) {
             peer.connection.drop(CloseCode.TOO_MANY);
         }
         scheduler.post(() -> add(peer));
--- a/src/main/java/ochretiller/jsonrpc/JsonRpcConnection.java
+++ b/src/main/java/ochretiller/jsonrpc/JsonRpcConnection.java
@@ -57,6 +57,16 @@
         return decoder.hasPartialMessage();
     }
 
+    @Override
+    public long heldInputBytes() {
+        return decoder.heldBytes();
+    }
+
+    @Override
+    public void discardInput() {
+        decoder.discard();
+    }
+
     boolean isOpen() {
         return connection.isOpen() && !hasViolatedProtocol();
     }
--- a/src/main/java/ochretiller/net/AcceptedSessionHandler.java
+++ b/src/main/java/ochretiller/net/AcceptedSessionHandler.java
@@ -1,22 +1,16 @@
 package ochretiller.net;
 
 import java.util.function.Function;
+import ochretiller.text.BadInputException;
+import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
 
 /**
- * Handles sessions that clients opened. After a client exceeds its input limit or violates the
- * protocol, nothing more is read from it; earlier input is processed and answered before the close.
+ * Handles sessions that clients opened, whose input waits in a {@link ClientInput} until the event
+ * loop decodes it. After a client exceeds a limit or violates the protocol, nothing more is read
+ * from it; earlier input is processed and answered before the close.
  */
 final class AcceptedSessionHandler extends SessionHandler {
-    /**
-     * Input bytes of one connection that may be queued for the event loop: as many requests of
-     * maximum length as a connection may have open.
-     */
-    private static final int MAX_QUEUED_BYTES = 128 * 1024;
-
-    /** The same limit while the queue of all connections exceeds its share of the memory. */
-    private static final int MAX_QUEUED_BYTES_UNDER_PRESSURE = 8 * 1024;
-
     private final String kind;
     private final Function<Connection, ConnectionHandler> handlerFactory;
 
@@ -45,20 +39,37 @@
         return true;
     }
 
-    /** Under memory pressure, stops reading those with much queued input; others are still read. */
+    private static ClientInput input(IoSession session) {
+        return (ClientInput) session.getAttribute(ClientInput.class);
+    }
+
     @Override
-    boolean enqueue(int queuedBytes, long queuedBytesOfAll) {
-        return queuedBytes <= MAX_QUEUED_BYTES
-                && (queuedBytes <= MAX_QUEUED_BYTES_UNDER_PRESSURE
-                        || !network.isQueuedInputHigh(queuedBytesOfAll));
+    public void sessionCreated(IoSession session) {
+        super.sessionCreated(session);
+        session.setAttribute(
+                ClientInput.class,
+                new ClientInput(
+                        session, connection(session), handler(session), this, network.heldInput()));
     }
 
     @Override
-    void dequeue() {
-        // enqueue acquires nothing that would have to be released.
+    void onInput(IoSession session, IoBuffer buffer) {
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        input(session).add(bytes);
     }
 
     @Override
+    void onInputEnded(IoSession session) {
+        input(session).end();
+    }
+
+    /** Logs input that violates the protocol. */
+    void onBadInput(IoSession session, BadInputException violation) {
+        logBadInput(kind, connection(session).peerAddress(), violation);
+    }
+
+    /** Stops reading, and disconnects once the requests read before are answered. */
     void disconnect(Connection connection, ConnectionHandler handler, CloseCode code) {
         connection.stopReading();
         scheduler.post(
@@ -68,4 +79,9 @@
                     }
                 });
     }
+
+    @Override
+    void onReleased(IoSession session) {
+        input(session).release();
+    }
 }
--- a/src/main/java/ochretiller/net/ConnectionHandler.java
+++ b/src/main/java/ochretiller/net/ConnectionHandler.java
@@ -6,7 +6,7 @@
  */
 public interface ConnectionHandler {
     /**
-     * Decodes one read of input. Called on the I/O thread.
+     * Decodes some input. Called on the event loop for a client connection, else on the I/O thread.
      *
      * @param bytes the read buffer, which is reused after the call
      * @param from index of the first byte read
@@ -16,11 +16,24 @@
      */
     Runnable decode(byte[] bytes, int from, int to);
 
-    /** Returns whether a message is partially received. Called on the I/O thread. */
+    /** Returns whether a message is partially received. Called on the thread that decodes. */
     default boolean hasPartialMessage() {
         return false;
     }
 
+    /**
+     * Returns the memory, in bytes, that a client connection holds for input which is no request
+     * yet. Called on the event loop.
+     */
+    default long heldInputBytes() {
+        return 0;
+    }
+
+    /** Discards the input of {@link #heldInputBytes}, after which nothing more is decoded. */
+    default void discardInput() {
+        // Needed only by handlers of client connections.
+    }
+
     /**
      * Called when the peer has violated the protocol or a limit, and is no longer read from. Called
      * on the event loop, after the work that was decoded before the violation.
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.future.IoFutureListener;
@@ -20,8 +19,8 @@
 
 /**
  * All TCP connections of the server, on Apache MINA, with one I/O thread for client connections and
- * one for outbound connections. The I/O threads only decode and enqueue; everything else runs on
- * the event loop.
+ * one for outbound connections. The I/O threads only read, decode what outbound connections
+ * receive, and enqueue; everything else runs on the event loop.
  *
  * <p>Methods must be called on the event loop, or before it starts, unless documented otherwise.
  */
@@ -34,22 +33,20 @@
     /** Output that clients have not read may take 1/24 of the server's memory. */
     private static final int UNREAD_MEMORY_DIVISOR = 24;
 
-    /**
-     * Queued input may take 1/96 of the server's memory, counted in bytes as read; decoded, it
-     * takes about ten times as much.
-     */
-    private static final int QUEUED_MEMORY_DIVISOR = 96;
+    /** Client connections to assume if their number is not given. */
+    private static final int DEFAULT_CLIENT_CONNECTIONS = 64;
 
     private static final int BACKLOG = 1024;
     private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
 
     private final Scheduler scheduler;
     private final ExecutorService threads = Executors.newCachedThreadPool(Network::daemonThread);
-    private final NioProcessor acceptedProcessor = new NioProcessor(threads);
+    private final NioProcessor acceptedProcessor = new ClientProcessor(threads);
     private final NioProcessor outboundProcessor = new NioProcessor(threads);
     private final NioSocketConnector connector = new NioSocketConnector(threads, outboundProcessor);
-    private final AtomicLong queuedBytes = new AtomicLong();
     private final long memoryBytes;
+    private final InputLimits inputLimits;
+    private final HeldInput heldInput;
     private final Set<Connection> dirtyConnections = new LinkedHashSet<>();
     private final Set<InetSocketAddress> unreachableAddresses = ConcurrentHashMap.newKeySet();
     private final List<Acceptor> acceptors = new ArrayList<>();
@@ -61,9 +58,22 @@
      * @param memoryBytes memory of the server in bytes; the buffer limits are fractions of it
      */
     public Network(Scheduler scheduler, long memoryBytes) {
+        this(scheduler, memoryBytes, DEFAULT_CLIENT_CONNECTIONS);
+    }
+
+    /**
+     * Creates a network without listeners and connections.
+     *
+     * @param scheduler the event loop
+     * @param memoryBytes memory of the server in bytes; the buffer limits are fractions of it
+     * @param maxClientConnections client connections that may be open at once, over all listeners
+     */
+    public Network(Scheduler scheduler, long memoryBytes, int maxClientConnections) {
         this.scheduler = scheduler;
         this.memoryBytes = memoryBytes;
-        configure(connector.getSessionConfig());
+        inputLimits = InputLimits.of(memoryBytes, maxClientConnections);
+        heldInput = new HeldInput(inputLimits.heldBytes());
+        configure(connector.getSessionConfig(), MAX_READ_BYTES);
         connector.setConnectTimeoutMillis(CONNECT_TIMEOUT_MILLIS);
         connector.setHandler(new OutboundSessionHandler(this, scheduler));
     }
@@ -74,10 +84,10 @@
         return thread;
     }
 
-    private static void configure(SocketSessionConfig config) {
+    private static void configure(SocketSessionConfig config, int readBytes) {
         config.setTcpNoDelay(true);
-        config.setMaxReadBufferSize(MAX_READ_BYTES);
-        config.setReadBufferSize(INITIAL_READ_BYTES);
+        config.setMaxReadBufferSize(readBytes);
+        config.setReadBufferSize(Math.min(INITIAL_READ_BYTES, readBytes));
     }
 
     /**
@@ -98,7 +108,7 @@
         acceptors.add(acceptor);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
-        configure(acceptor.getSessionConfig());
+        configure(acceptor.getSessionConfig(), inputLimits.readBytes());
         acceptor.setHandler(new AcceptedSessionHandler(this, scheduler, kind, handlerFactory));
         try {
             acceptor.bind(address);
@@ -183,19 +193,9 @@
         return unread > memoryBytes / UNREAD_MEMORY_DIVISOR;
     }
 
-    /**
-     * Changes the number of input bytes of all connections queued for the event loop. Any thread.
-     *
-     * @param bytes the bytes that were added; negative if they have been processed
-     * @return the number of bytes now queued
-     */
-    long addQueuedBytes(int bytes) {
-        return queuedBytes.addAndGet(bytes);
-    }
-
-    /** Returns whether this much queued input exceeds its share of the memory. Any thread. */
-    boolean isQueuedInputHigh(long queued) {
-        return queued > memoryBytes / QUEUED_MEMORY_DIVISOR;
+    /** Returns the account of the input that client connections hold. */
+    HeldInput heldInput() {
+        return heldInput;
     }
 
     /** Sends the output of the current event loop round, in a single write per connection. */
--- a/src/main/java/ochretiller/net/OutboundSessionHandler.java
+++ b/src/main/java/ochretiller/net/OutboundSessionHandler.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.Semaphore;
 import java.util.function.Function;
+import ochretiller.text.BadInputException;
+import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
 
 /**
@@ -50,24 +52,41 @@
         return false;
     }
 
+    @Override
+    void onInput(IoSession session, IoBuffer buffer) {
+        Connection connection = connection(session);
+        int from = buffer.arrayOffset() + buffer.position();
+        Runnable work;
+        try {
+            work = handler(session).decode(buffer.array(), from, from + buffer.remaining());
+        } catch (BadInputException e) {
+            logBadInput(kind(session), connection.peerAddress(), e);
+            connection.drop(CloseCode.BAD_INPUT);
+            return;
+        }
+        if (work != null) {
+            post(connection, work);
+        }
+    }
+
     /**
      * Blocks the I/O thread while the queue is full, so that TCP slows the peer down. MINA's
      * suspendRead and resumeRead, called on two threads, could undo each other's effect.
      */
-    @Override
-    boolean enqueue(int queuedBytes, long queuedBytesOfAll) {
+    private void post(Connection connection, Runnable work) {
         queueSlots.acquireUninterruptibly();
-        return true;
-    }
-
-    @Override
-    void dequeue() {
-        queueSlots.release();
+        scheduler.post(
+                () -> {
+                    queueSlots.release();
+                    connection.markUsed(scheduler.now());
+                    work.run();
+                });
     }
 
     @Override
-    void disconnect(Connection connection, ConnectionHandler handler, CloseCode code) {
-        connection.drop(code);
+    void onInputEnded(IoSession session) {
+        session.suspendRead(); // else the selector would report the end of input repeatedly
+        scheduler.post(handler(session)::onInputEnded);
     }
 
     /** Excludes closes after a completed run, which would fill the log; pool metrics count them. */
--- a/src/main/java/ochretiller/net/SessionHandler.java
+++ b/src/main/java/ochretiller/net/SessionHandler.java
@@ -1,8 +1,6 @@
 package ochretiller.net;
 
 import java.io.IOException;
-import java.time.Duration;
-import java.util.Optional;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -13,8 +11,8 @@
 
 /**
  * Translates MINA's session events into calls of the {@link ConnectionHandler}: decoding on the I/O
- * thread, everything else on the event loop. The subclasses differ in how they treat a peer that
- * exceeds its input limit or violates the protocol.
+ * thread, everything else on the event loop. The subclasses differ in how the input reaches the
+ * event loop, and in how they treat a peer that exceeds a limit or violates the protocol.
  */
 abstract class SessionHandler extends IoHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(Network.class.getName());
@@ -39,20 +37,16 @@
     /** Returns whether {@link Connection#close} waits until the peer has read its output. */
     abstract boolean isLingering();
 
-    /**
-     * Called before input is queued for the event loop; may block the I/O thread.
-     *
-     * @param queuedBytes queued bytes of this connection, including the new input
-     * @param queuedBytesOfAll queued bytes of all connections, including the new input
-     * @return false if the connection has exceeded its input limit
-     */
-    abstract boolean enqueue(int queuedBytes, long queuedBytesOfAll);
+    /** Passes on a read of input. Called on the I/O thread; may block it. */
+    abstract void onInput(IoSession session, IoBuffer buffer);
 
-    /** Called on the event loop when input has been taken from the queue. */
-    abstract void dequeue();
+    /** Passes on the end of the input. Called on the I/O thread. */
+    abstract void onInputEnded(IoSession session);
 
-    /** Stops reading from a peer that violated the protocol or a limit, and disconnects. */
-    abstract void disconnect(Connection connection, ConnectionHandler handler, CloseCode code);
+    /** Called on the event loop when a connection has been closed. */
+    void onReleased(IoSession session) {
+        // Needed only where the event loop holds input.
+    }
 
     /** Returns whether a connection that was closed with this code is logged. */
     boolean isLogged(CloseCode code) {
@@ -64,11 +58,11 @@
         LOG.info(() -> "connection " + kind + ' ' + peer + " ended: " + code.externalName());
     }
 
-    private static Connection connection(IoSession session) {
+    static Connection connection(IoSession session) {
         return (Connection) session.getAttribute(Connection.class);
     }
 
-    private static ConnectionHandler handler(IoSession session) {
+    static ConnectionHandler handler(IoSession session) {
         return (ConnectionHandler) session.getAttribute(ConnectionHandler.class);
     }
 
@@ -85,60 +79,18 @@
         if (!connection.isOpen() || connection.isReadingStopped()) {
             return;
         }
-        IoBuffer buffer = (IoBuffer) message;
-        int from = buffer.arrayOffset() + buffer.position();
-        ConnectionHandler handler = handler(session);
-        Runnable work;
-        try {
-            work = handler.decode(buffer.array(), from, from + buffer.remaining());
-        } catch (BadInputException e) {
-            logBadInput(kind(session), connection.peerAddress(), e);
-            disconnect(connection, handler, CloseCode.BAD_INPUT);
-            return;
-        }
-        updateIncompleteSince(connection, handler, work != null);
-        if (work != null) {
-            post(connection, handler, buffer.remaining(), work);
-        }
+        onInput(session, (IoBuffer) message);
     }
 
-    private static void logBadInput(String kind, String peer, BadInputException fault) {
+    /** Logs input that violates the protocol. */
+    static void logBadInput(String kind, String peer, BadInputException fault) {
         LOG.info(() -> "bad input from " + kind + " " + peer + ": " + fault.getMessage());
     }
 
-    /** The age of an incomplete message counts from the read that completed the one before. */
-    private void updateIncompleteSince(
-            Connection connection, ConnectionHandler handler, boolean hasCompletedMessage) {
-        Optional<Duration> incompleteSince = connection.incompleteSince();
-        if (!handler.hasPartialMessage()) {
-            connection.incompleteSince(Optional.empty());
-        } else if (incompleteSince.isEmpty() || hasCompletedMessage) {
-            connection.incompleteSince(Optional.of(scheduler.now()));
-        }
-    }
-
-    private void post(Connection connection, ConnectionHandler handler, int bytes, Runnable work) {
-        int queuedBytes = connection.addQueuedBytes(bytes);
-        boolean isWithinLimit = enqueue(queuedBytes, network.addQueuedBytes(bytes));
-        scheduler.post(
-                () -> {
-                    dequeue();
-                    connection.addQueuedBytes(-bytes);
-                    network.addQueuedBytes(-bytes);
-                    connection.markUsed(scheduler.now());
-                    work.run();
-                });
-        if (!isWithinLimit) {
-            disconnect(connection, handler, CloseCode.FLOOD);
-        }
-    }
-
     @Override
     public void inputClosed(IoSession session) {
-        session.suspendRead(); // else the selector would report the end of input repeatedly
+        onInputEnded(session);
         connection(session).markInputEnded();
-        ConnectionHandler handler = handler(session);
-        scheduler.post(handler::onInputEnded);
     }
 
     @Override
@@ -151,6 +103,7 @@
                 () -> {
                     CloseCode code = connection.closeCode().orElse(CloseCode.PEER_CLOSED);
                     handler.onClosed(code);
+                    onReleased(session);
                     if (isLogged(code)) {
                         logClosed(kind(session), connection.peerAddress(), code);
                     }
--- a/src/main/java/ochretiller/node/EventLoop.java
+++ b/src/main/java/ochretiller/node/EventLoop.java
@@ -21,6 +21,10 @@
  */
 public final class EventLoop implements Scheduler {
     private static final Logger LOG = Logger.getLogger(EventLoop.class.getName());
+
+    /** Posted tasks of one batch, so that under load timers and output are not delayed by more. */
+    private static final int MAX_BATCH_TASKS = 64;
+
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final LinkedBlockingQueue<Runnable> postedTasks = new LinkedBlockingQueue<>();
@@ -74,7 +78,7 @@
         List<Runnable> batch = new ArrayList<>();
         while (!isStopped) {
             awaitWork(batch);
-            postedTasks.drainTo(batch);
+            postedTasks.drainTo(batch, MAX_BATCH_TASKS);
             now = Duration.ofNanos(elapsedNanos());
             while (!timers.isEmpty() && timers.peek().dueAt.compareTo(now) <= 0) {
                 batch.add(timers.poll().work);
--- a/src/main/java/ochretiller/node/ServerNode.java
+++ b/src/main/java/ochretiller/node/ServerNode.java
@@ -98,7 +98,9 @@
     }
 
     private ServerResources createResources() throws IOException {
-        Network network = new Network(loop, memoryLimitBytes());
+        int maxClients = configuration.maxDescriptors() / CLIENT_DESCRIPTORS_DIVISOR;
+        Network network =
+                new Network(loop, memoryLimitBytes(), ClientConnections.maxDescriptors(maxClients));
         ProcessorClient processor =
                 new ProcessorClient(
                         loop,
@@ -117,7 +119,7 @@
         ClientConnections connections =
                 new ClientConnections(
                         loop,
-                        configuration.maxDescriptors() / CLIENT_DESCRIPTORS_DIVISOR,
+                        maxClients,
                         longestClientTimeout(),
                         configuration.settings().duration("familyInfo.idleNs", Duration.ZERO),
                         this::onRequestRead,
--- a/src/main/java/ochretiller/text/FrameDecoder.java
+++ b/src/main/java/ochretiller/text/FrameDecoder.java
@@ -97,6 +97,18 @@
         return restLength > 0;
     }
 
+    /** Returns the memory, in bytes, that holds an incomplete message. */
+    public int heldBytes() {
+        return rest.length;
+    }
+
+    /** Discards an incomplete message. */
+    public void discard() {
+        rest = Slice.EMPTY.bytes();
+        restLength = 0;
+        scannedLength = 0;
+    }
+
     private Cursor append(byte[] bytes, int from, int to) {
         int length = restLength + to - from;
         if (rest.length < length) {
--- a/src/main/java/ochretiller/uwsgi/UwsgiConnection.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiConnection.java
@@ -28,7 +28,10 @@
             new UwsgiRequestDecoder(UwsgiFrontend.MAX_BODY_BYTES);
     private final Queue<Input> waitingInputs = new ArrayDeque<>();
 
-    /** Whether malformed input was received, after which decoding stops. I/O thread only. */
+    /** The memory that {@link #waitingInputs} take. */
+    private long waitingBytes;
+
+    /** Whether malformed input was received or input discarded, after which decoding stops. */
     private boolean isInputMalformed;
 
     private long lastRequestNumber;
@@ -36,7 +39,17 @@
 
     /** The result of decoding: a request, or the violation that was found instead. */
     private sealed interface Input {
-        record Valid(UwsgiRequest request) implements Input {}
+        /** Returns the memory that it takes, in bytes. */
+        default long heldBytes() {
+            return 0;
+        }
+
+        record Valid(UwsgiRequest request) implements Input {
+            @Override
+            public long heldBytes() {
+                return request.heldBytes();
+            }
+        }
 
         record Malformed(UwsgiException fault) implements Input {}
     }
@@ -73,11 +86,27 @@
         return decoder.hasPartialRequest();
     }
 
+    @Override
+    public long heldInputBytes() {
+        return decoder.heldBytes() + waitingBytes;
+    }
+
+    @Override
+    public void discardInput() {
+        isInputMalformed = true;
+        decoder.discard();
+        waitingInputs.clear();
+        waitingBytes = 0;
+    }
+
     private void enqueue(List<Input> inputs) {
         if (!connection.isOpen()) {
             return;
         }
-        waitingInputs.addAll(inputs);
+        for (Input input : inputs) {
+            waitingInputs.add(input);
+            waitingBytes += input.heldBytes();
+        }
         if (waitingInputs.size() > MAX_WAITING_REQUESTS) {
             connection.drop(CloseCode.FLOOD);
         } else {
@@ -89,6 +118,7 @@
     private void serveWaiting() {
         while (connection.isOpen() && openAttempts().isEmpty() && !waitingInputs.isEmpty()) {
             Input input = waitingInputs.poll();
+            waitingBytes -= input.heldBytes();
             if (input instanceof Input.Malformed malformed) {
                 closeMalformed(malformed.fault());
                 return;
--- a/src/main/java/ochretiller/uwsgi/UwsgiRequestDecoder.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiRequestDecoder.java
@@ -56,6 +56,18 @@
         return part != Part.HEADER || bufferedBytes > 0;
     }
 
+    /** Returns the memory, in bytes, that holds an incomplete request and an unused buffer. */
+    public long heldBytes() {
+        return buffer.length + (vars == null ? 0 : UwsgiVariables.heldBytes(vars));
+    }
+
+    /** Discards an incomplete request; nothing may be decoded afterwards. */
+    public void discard() {
+        buffer = new byte[0];
+        vars = null;
+        startPart(Part.HEADER, HEADER_BYTES);
+    }
+
     /**
      * Decodes bytes as they were received.
      *
--- a/src/main/java/ochretiller/uwsgi/UwsgiVariables.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiVariables.java
@@ -16,8 +16,23 @@
     /** Maximum variables of a block: a map of short ones takes a hundred times their size. */
     private static final int MAX_VARIABLES = 512;
 
+    /** Memory of a variable beside the chars of its name and value, in bytes. */
+    private static final int VARIABLE_OVERHEAD_BYTES = 160;
+
     private UwsgiVariables() {}
 
+    /** Returns the memory that variables take, in bytes. */
+    static long heldBytes(Map<String, String> vars) {
+        long bytes = 0;
+        for (Map.Entry<String, String> variable : vars.entrySet()) {
+            bytes +=
+                    VARIABLE_OVERHEAD_BYTES
+                            + variable.getKey().length()
+                            + variable.getValue().length();
+        }
+        return bytes;
+    }
+
     /**
      * Decodes a block without its header.
      *
--- a/src/test/java/ochretiller/Deployment.java
+++ b/src/test/java/ochretiller/Deployment.java
@@ -221,6 +221,10 @@
         new ProcessBuilder("kill", "-" + name, "" + process.pid()).start().waitFor();
     }
 
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     long pid() {
         return process.pid();
     }
--- a/src/test/java/ochretiller/UwsgiIT.java
+++ b/src/test/java/ochretiller/UwsgiIT.java
@@ -15,9 +15,12 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import ochretiller.fakes.DaemonThreads;
 import ochretiller.fakes.FakeConnection;
 import ochretiller.fakes.GatewayMessages;
 import ochretiller.uwsgi.UwsgiRequest;
@@ -33,6 +36,7 @@
 /** The packaged program with its uwsgi and JSON-RPC frontends, as their clients see it. */
 class UwsgiIT {
     private static final String TOKEN = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    private static final int HOSTILE_CLIENTS = 150;
     @TempDir private Path folder;
     private Deployment deployment;
     private int port;
@@ -365,6 +369,44 @@
         }
     }
 
+    // Guards against memory that grows with requests of very many short variables, which wait for
+    // an earlier request of their connection.
+    @Test
+    void manyVariablesOfWaitingRequestsDoNotEndTheServer() throws Exception {
+        String[] variables = new String[900];
+        for (int i = 0; i < variables.length; i += 2) {
+            variables[i] = "V" + i;
+            variables[i + 1] = "";
+        }
+        List<Call> calls = new ArrayList<>();
+        CountDownLatch senders = new CountDownLatch(HOSTILE_CLIENTS);
+        try {
+            for (int i = 0; i < HOSTILE_CLIENTS; i++) {
+                // retries of one order, which all wait for its run
+                Call call = new Call().send("POST", "/orders", "waiting", "open");
+                calls.add(call);
+                DaemonThreads.start(
+                        () -> {
+                            try {
+                                for (int sent = 0; sent < 30; sent++) {
+                                    call.send("GET", "/parts/7", null, "open", variables);
+                                }
+                            } finally {
+                                senders.countDown(); // also if the server closes the connection
+                            }
+                        });
+            }
+            assertThat(senders.await(20, TimeUnit.SECONDS)).isTrue();
+            expect(order("k", "done beside"), 200, "result of done beside");
+            await(deployment.log, "connection uwsgi .* ended: FLOOD");
+            assertThat(deployment.isAlive()).isTrue();
+        } finally {
+            for (Call call : calls) {
+                call.close();
+            }
+        }
+    }
+
     @Test
     void floodingPeerLosesOnlyItsOwnConnection() throws Exception {
         try (Call flooding = new Call()) {
