Hold the open attempts of all clients to a share of the memory

220 clients with 31 waiting retries each of one running order ended a server of 64 MB (code 4): 32 open requests a connection are allowed, and nothing bounded those of all connections in bytes as held; retries that wait are never shed. OpenAttemptMemory counts them by connection; above a 16th of the memory a connection is held to an equal share, new requests beyond it are throttled and known retries get an error.

--- a/src/main/java/ochretiller/frontend/ClientConnections.java
+++ b/src/main/java/ochretiller/frontend/ClientConnections.java
@@ -18,11 +18,15 @@
  * #register} and {@link #onDescriptorReleased}.
  */
 public final class ClientConnections {
+    /** Unanswered attempts may take 1/16 of the server's memory. */
+    private static final int OPEN_ATTEMPTS_MEMORY_DIVISOR = 16;
+
     private final Scheduler scheduler;
     private final ConnectionTable table;
     private final Consumer<RequestAttempt> onArrived;
     private final Consumer<RequestAttempt> onAborted;
     private final Predicate<RequestAttempt> isKnownRetry;
+    private final OpenAttemptMemory memory;
     private final Map<String, RequestAttempt> attempts = new HashMap<>();
     private long lastId;
     private int openAttemptCount;
@@ -33,6 +37,7 @@
      *
      * @param scheduler the event loop
      * @param limit the maximum number of open connections, over all frontends
+     * @param memoryBytes memory of the server in bytes, of which open attempts may use a share
      * @param longestWait the longest time for which a client waits for a response; an incomplete
      *     message that is older is ignored
      * @param idleTimeout initial value for {@link #setIdleTimeout}
@@ -44,6 +49,7 @@
     public ClientConnections(
             Scheduler scheduler,
             int limit,
+            long memoryBytes,
             Duration longestWait,
             Duration idleTimeout,
             Consumer<RequestAttempt> onArrived,
@@ -54,6 +60,7 @@
         this.onArrived = onArrived;
         this.onAborted = onAborted;
         this.isKnownRetry = isKnownRetry;
+        this.memory = new OpenAttemptMemory(memoryBytes / OPEN_ATTEMPTS_MEMORY_DIVISOR);
     }
 
     /**
@@ -128,8 +135,9 @@
     }
 
     /**
-     * Registers an attempt that was read. On a surplus connection it is throttled at once, unless
-     * it repeats a known attempt: a throttled response says that nothing was executed.
+     * Registers an attempt that was read. On a surplus connection, or beyond the connection's share
+     * of scarce memory, it is throttled at once, unless it repeats a known attempt: a throttled
+     * response says that nothing was executed.
      */
     public void addAttempt(RequestAttempt attempt) {
         ClientConnection peer = attempt.clientConnection;
@@ -137,8 +145,12 @@
         peer.openAttempts().put(attempt.number, attempt);
         attempts.put(attempt.requestId, attempt);
         openAttemptCount++;
-        if (peer.isSurplus() && !isKnownRetry.test(attempt)) {
+        boolean isWithinShare = memory.add(attempt);
+        boolean isRefused = peer.isSurplus() || !isWithinShare;
+        if (isRefused && !isKnownRetry.test(attempt)) {
             throttle(attempt, Duration.ZERO, false); // another server may have capacity
+        } else if (!isWithinShare) {
+            fail(attempt, FailureReason.DEADLINE_EXCEEDED); // the original may have run
         } else {
             onArrived.accept(attempt);
         }
@@ -170,6 +182,7 @@
         attempt.markAnswered();
         attempt.clientConnection.openAttempts().remove(attempt.number);
         openAttemptCount--;
+        memory.remove(attempt);
         return true;
     }
 
--- a/src/main/java/ochretiller/node/ServerNode.java
+++ b/src/main/java/ochretiller/node/ServerNode.java
@@ -120,6 +120,7 @@
                 new ClientConnections(
                         loop,
                         maxClients,
+                        memoryLimitBytes(),
                         longestClientTimeout(),
                         configuration.settings().duration("familyInfo.idleNs", Duration.ZERO),
                         this::onRequestRead,
--- a/src/test/java/ochretiller/HostileClientsIT.java
+++ b/src/test/java/ochretiller/HostileClientsIT.java
@@ -152,4 +152,33 @@
         isFloodOver.set(true);
         assertThat(floodAnswers.get()).isPositive();
     }
+
+    // Guards against memory that grows with requests which were read and wait for their answers.
+    @Test
+    void waitingRetriesOfManyClientsDoNotEndTheServer() throws Exception {
+        start(64, 512, 30);
+        deployment.services.runHandler = (rid, operation, body) -> {};
+        String body = "x".repeat(2_000);
+        FakeConnection usual = connect();
+        usual.send(order(1, body));
+        await(deployment.received, "begin .* order");
+        for (int i = 0; i < 220; i++) {
+            FakeConnection client = connect();
+            client.send(message(1, "ping", "{}"));
+            assertThat(client.readLine()).contains("\"green\":");
+            for (int id = 2; id <= 32; id++) {
+                client.send(order(id, body));
+            }
+        }
+        for (FakeConnection client : clients.subList(1, clients.size())) {
+            client.send(message(33, "ping", "{}"));
+            String line = client.readLine();
+            while (line != null && !line.contains("\"id\":33,")) {
+                line = client.readLine();
+            }
+        }
+        deployment.services.complete(rid(1), "ran");
+        assertThat(usual.readLine()).contains(GatewayMessages.base64("ran"));
+        assertThat(deployment.isAlive()).isTrue();
+    }
 }
--- a/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
+++ b/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
@@ -141,6 +141,7 @@
                 new ClientConnections(
                         loop,
                         LIMIT,
+                        64L * 1024 * 1024,
                         LONGEST_WAIT,
                         IDLE_TIMEOUT,
                         arrived::add,
--- a/src/test/java/ochretiller/node/AttemptFixture.java
+++ b/src/test/java/ochretiller/node/AttemptFixture.java
@@ -92,6 +92,7 @@
                 new ClientConnections(
                         loop,
                         MAX_CONNECTIONS,
+                        MEMORY_BYTES,
                         SECOND.multipliedBy(4),
                         SECOND.multipliedBy(60),
                         attempt -> {},
