--- a/src/main/java/ochretiller/admission/IdempotencyTable.java
+++ b/src/main/java/ochretiller/admission/IdempotencyTable.java
@@ -5,7 +5,8 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
@@ -22,12 +23,20 @@
     /** Share of the server's memory that the entries may use. */
     private static final double MEMORY_SHARE = 0.4;
 
+    /** Discarded entries that can still be found: more than are discarded in a few seconds. */
+    private static final int MAX_DISCARDED_ENTRIES = 4_096;
+
     private final double entryKb;
     private final double capacityKb;
-    private final Map<InvocationId, IdempotencyEntry> entries = new HashMap<>();
+
+    /** All entries, in the order in which they were added. */
+    private final Map<InvocationId, IdempotencyEntry> entries = new LinkedHashMap<>();
+
     private final PriorityQueue<IdempotencyEntry> liveByExpiry =
             new PriorityQueue<>(Comparator.comparing(IdempotencyEntry::expiresAt));
-    private final ArrayDeque<IdempotencyEntry> insertionOrder = new ArrayDeque<>();
+
+    /** The discarded entries that can still be found, the oldest first. */
+    private final ArrayDeque<IdempotencyEntry> discardedEntries = new ArrayDeque<>();
 
     /**
      * Creates an empty table.
@@ -62,11 +71,9 @@
         // A retry may be read long after it arrived, so an entry can be found for one client
         // timeout longer than it counts as used memory.
         Duration forgetBefore = now.minus(attempt.operation().clientTimeout());
-        while (!insertionOrder.isEmpty()
-                && isAfter(forgetBefore, insertionOrder.peek().expiresAt())) {
-            IdempotencyEntry oldest = insertionOrder.poll();
-            // By identity: a discarded attempt that was read again has a newer entry.
-            entries.remove(oldest.id(), oldest);
+        Iterator<IdempotencyEntry> oldestFirst = entries.values().iterator();
+        while (oldestFirst.hasNext() && isAfter(forgetBefore, oldestFirst.next().expiresAt())) {
+            oldestFirst.remove();
         }
         Duration window = attempt.operation().deduplicationWindow();
         add(new IdempotencyEntry(attempt.id(), attempt.arrivedAt().plus(window)));
@@ -80,9 +87,9 @@
     }
 
     private void add(IdempotencyEntry entry) {
+        entries.remove(entry.id()); // a discarded attempt that was read again gets a new place
         entries.put(entry.id(), entry);
         liveByExpiry.add(entry);
-        insertionOrder.add(entry);
     }
 
     Optional<IdempotencyEntry> find(InvocationId id) {
@@ -101,9 +108,23 @@
         return entry;
     }
 
-    /** Marks the entry of an attempt that never ran as discarded, and frees its memory. */
+    /**
+     * Marks the entry of an attempt that never ran as discarded, and frees its memory. The latest
+     * discarded entries can still be found.
+     */
     void discard(IdempotencyEntry entry) {
         entry.transitionTo(IdempotencyEntry.State.DISCARDED);
         liveByExpiry.remove(entry);
+        discardedEntries.add(entry);
+        if (discardedEntries.size() > MAX_DISCARDED_ENTRIES) {
+            IdempotencyEntry oldest = discardedEntries.poll();
+            // By identity: a discarded attempt that was read again has a newer entry.
+            entries.remove(oldest.id(), oldest);
+        }
+    }
+
+    /** Returns the number of entries that can be found. */
+    int size() {
+        return entries.size();
     }
 }
--- a/src/test/java/ochretiller/admission/IdempotencyTableTest.java
+++ b/src/test/java/ochretiller/admission/IdempotencyTableTest.java
@@ -6,6 +6,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import ochretiller.model.Invocation;
+import ochretiller.model.InvocationId;
 import ochretiller.model.RunOutcome.Status;
 import org.junit.jupiter.api.Test;
 
@@ -27,6 +29,19 @@
         assertThat(table.hasCapacity(SECOND.multipliedBy(30))).isTrue();
     }
 
+    // Guards against memory that grows with orders under ever new keys that are given up at once.
+    @Test
+    void discardedEntriesAreBounded() {
+        IdempotencyTable table = new IdempotencyTable(10, 10_000);
+        for (int id = 1; id <= 20_000; id++) {
+            Invocation order = invocation(id, ORDER).build();
+            table.register(order, Duration.ZERO);
+            table.discard(table.find(order.id()).orElseThrow());
+        }
+        assertThat(table.size()).isLessThan(5_000);
+        assertThat(table.find(new InvocationId(20_000))).isPresent();
+    }
+
     @Test
     void restoredEntriesUseMemory() {
         AdmissionFixture server = new AdmissionFixture();
