--- a/src/main/java/ochretiller/frontend/ClientConnections.java
+++ b/src/main/java/ochretiller/frontend/ClientConnections.java
@@ -27,6 +27,7 @@
     private final Consumer<RequestAttempt> onAborted;
     private final Predicate<RequestAttempt> isKnownRetry;
     private final OpenAttemptMemory memory;
+    private final UsedRequestIds usedIds = new UsedRequestIds();
     private final Map<String, RequestAttempt> attempts = new HashMap<>();
     private long lastId;
     private int openAttemptCount;
@@ -124,9 +125,17 @@
         onAborted.accept(attempt);
     }
 
-    /** Returns whether an attempt with this request id is open or still running. */
-    public boolean hasAttempt(String requestId) {
-        return attempts.containsKey(requestId);
+    /**
+     * Returns whether a new attempt may not have this request id: one with it is open or still
+     * running, or was run and must not be run again.
+     */
+    public boolean isRequestIdUsed(String requestId) {
+        return attempts.containsKey(requestId) || usedIds.contains(requestId);
+    }
+
+    /** Records that an attempt is handed to a backend, so that its effect may happen. */
+    public void markDispatched(RequestAttempt attempt) {
+        usedIds.add(attempt);
     }
 
     /** Returns an attempt id that is unique within this process. */
--- a/src/main/java/ochretiller/jsonrpc/JsonRpcFrontend.java
+++ b/src/main/java/ochretiller/jsonrpc/JsonRpcFrontend.java
@@ -191,7 +191,7 @@
         if (peer.openAttempts().size() >= MAX_OPEN_REQUESTS) {
             throw new JsonRpcException(JsonRpcException.INVALID_REQUEST, "too many open requests");
         }
-        if (clientConnections.hasAttempt(params.requestId())) {
+        if (clientConnections.isRequestIdUsed(params.requestId())) {
             throw new JsonRpcException(JsonRpcException.INVALID_PARAMS, "rid is in use");
         }
         clientConnections.addAttempt(
--- a/src/main/java/ochretiller/node/InvocationExecutor.java
+++ b/src/main/java/ochretiller/node/InvocationExecutor.java
@@ -166,6 +166,7 @@
         private void dispatch() {
             enter(RunState.EXECUTING);
             features.audit().recordRunStarted(attempt);
+            resources.connections().markDispatched(attempt);
             RunRequest request =
                     new RunRequest(
                             attempt.requestId,
--- a/src/main/java/ochretiller/uwsgi/UwsgiFrontend.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiFrontend.java
@@ -196,7 +196,7 @@
         String rid;
         do {
             rid = HexFormat.of().toHexDigits(random.nextLong());
-        } while (connections.hasAttempt(rid));
+        } while (connections.isRequestIdUsed(rid));
         return rid;
     }
 }
--- a/src/test/java/ochretiller/HostileClientsIT.java
+++ b/src/test/java/ochretiller/HostileClientsIT.java
@@ -153,6 +153,26 @@
         assertThat(floodAnswers.get()).isPositive();
     }
 
+    // Guards against a second run of an id with an effect whose client left, and then came again.
+    @Test
+    void idOfANonIdempotentRequestRunsOnceAlthoughItsClientLeft() throws Exception {
+        deployment = new Deployment(json -> json.replace("\"pure\"", "\"unsafe\""));
+        await(deployment.received, "usage fence");
+        FakeConnection first = connect();
+        String request = message(1, "read", GatewayMessages.params(nextRid(), null, "wait"));
+        first.send(request);
+        await(deployment.received, "begin " + rid(1));
+        first.reset();
+        await(deployment.log, "connection gateway .* ended: BROKEN");
+        deployment.services.complete(rid(1), "ran");
+        FakeConnection second = connect();
+        second.send(message(1, "read", GatewayMessages.params(nextRid(), null, "good")));
+        assertThat(second.readLine()).contains("\"result\"");
+        second.send(request);
+        assertThat(second.readLine()).contains("\"error\"").contains("rid is in use");
+        assertThat(deployment.received).noneMatch(line -> line.startsWith("begin " + rid(1)));
+    }
+
     // Guards against memory that grows with requests which were read and wait for their answers.
     @Test
     void waitingRetriesOfManyClientsDoNotEndTheServer() throws Exception {
--- a/src/test/java/ochretiller/node/InvocationExecutorTest.java
+++ b/src/test/java/ochretiller/node/InvocationExecutorTest.java
@@ -105,7 +105,7 @@
         claims.onStored.accept(true);
         assertThat(events).last().isEqualTo("answer done");
         assertThat(attempts.find(attempt.id)).isEmpty();
-        assertThat(fixture.connections.hasAttempt(attempt.requestId)).isFalse();
+        assertThat(fixture.connections.isRequestIdUsed(attempt.requestId)).isFalse();
     }
 
     @Test
