--- a/src/test/java/ochretiller/HostileClientsIT.java
+++ b/src/test/java/ochretiller/HostileClientsIT.java
@@ -153,6 +153,62 @@
         assertThat(floodAnswers.get()).isPositive();
     }
 
+    /** Sends unsound requests without a pause, on a new connection whenever the last one ends. */
+    private void sendUnsoundRequests() throws IOException {
+        String requests = message(7, "no-such-operation", "{}").repeat(1_000);
+        while (!isFloodOver.get()) {
+            try (FakeConnection flooding = deployment.connect()) {
+                DaemonThreads.start(
+                        () -> {
+                            while (flooding.readLine() != null) {
+                                floodAnswers.incrementAndGet();
+                            }
+                        });
+                flooding.sendUntilClosed(requests, 1_000);
+            }
+        }
+    }
+
+    // Guards against answers that come late or never while one client sends unsound requests on one
+    // connection at full speed, and against memory that grows meanwhile.
+    @Test
+    void requestsBesideOneClientAtFullSpeedAreServedInTime() throws Exception {
+        start(64, 512);
+        deployment.services.runHandler =
+                (rid, operation, body) -> deployment.services.complete(rid, "done");
+        DaemonThreads.start(this::sendUnsoundRequests);
+        FakeConnection usual = connect();
+        long slowestNanos = 0;
+        for (int served = 0; served < 300 || floodAnswers.get() < 300_000; served++) {
+            long start = System.nanoTime();
+            usual.send(message(served, "read", GatewayMessages.params(nextRid(), null, "good")));
+            assertThat(usual.readLine()).contains("\"result\"");
+            slowestNanos = Math.max(slowestNanos, System.nanoTime() - start);
+        }
+        assertThat(slowestNanos).as("objective of the operation").isLessThan(2_000_000_000L);
+        assertThat(deployment.isAlive()).isTrue();
+    }
+
+    // Guards against a process that passes its memory limit while hundreds of clients stop half way
+    // through a long request.
+    @Test
+    void clientsThatStopHalfWayThroughARequestDoNotEndTheServer() throws Exception {
+        start(64, 1_024);
+        deployment.services.runHandler =
+                (rid, operation, body) -> deployment.services.complete(rid, "done");
+        FakeConnection usual = connect();
+        for (int i = 0; i < 500; i++) {
+            FakeConnection slow = connect();
+            slow.send(message(1, "ping", "{}"));
+            assertThat(slow.readLine()).contains("\"green\":");
+            slow.sendUntilClosed("{\"jsonrpc\":\"2.0\",\"id\":2," + "\"a\":1,".repeat(1_300), 1);
+        }
+        await(deployment.log, "connection gateway .* ended: FLOOD");
+        usual.send(message(1, "read", GatewayMessages.params(nextRid(), null, "x".repeat(2_000))));
+        assertThat(usual.readLine()).contains("\"result\"");
+        assertThat(deployment.isAlive()).isTrue();
+    }
+
     // Guards against a second run of an id with an effect whose client left, and then came again.
     @Test
     void idOfANonIdempotentRequestRunsOnceAlthoughItsClientLeft() throws Exception {
