Finish a drain only when all input that was read has been processed

Input now waits for its turn as bytes, so a drain that looked at open attempts only could close connections before requests that had been read were looked at. GracefulShutdown also waits, until its end, for ClientConnections.isInputProcessed. Found by reading; the test holds what the drain asks for. The limits of client connections are one record, as eight parameters are one too many.

--- a/src/main/java/ochretiller/frontend/ClientConnections.java
+++ b/src/main/java/ochretiller/frontend/ClientConnections.java
@@ -37,11 +37,7 @@
      * Creates an instance without connections.
      *
      * @param scheduler the event loop
-     * @param limit the maximum number of open connections, over all frontends
-     * @param memoryBytes memory of the server in bytes, of which open attempts may use a share
-     * @param longestWait the longest time for which a client waits for a response; an incomplete
-     *     message that is older is ignored
-     * @param idleTimeout initial value for {@link #setIdleTimeout}
+     * @param limits how many connections there may be, and what they may hold
      * @param onArrived called with each attempt that was read
      * @param onAborted called with each attempt whose client no longer waits
      * @param isKnownRetry whether an attempt repeats one that this server knows, which may have
@@ -49,19 +45,21 @@
      */
     public ClientConnections(
             Scheduler scheduler,
-            int limit,
-            long memoryBytes,
-            Duration longestWait,
-            Duration idleTimeout,
+            ClientLimits limits,
             Consumer<RequestAttempt> onArrived,
             Consumer<RequestAttempt> onAborted,
             Predicate<RequestAttempt> isKnownRetry) {
         this.scheduler = scheduler;
-        this.table = new ConnectionTable(scheduler, limit, longestWait, idleTimeout);
+        this.table =
+                new ConnectionTable(
+                        scheduler,
+                        limits.connections(),
+                        limits.longestWait(),
+                        limits.idleTimeout());
         this.onArrived = onArrived;
         this.onAborted = onAborted;
         this.isKnownRetry = isKnownRetry;
-        this.memory = new OpenAttemptMemory(memoryBytes / OPEN_ATTEMPTS_MEMORY_DIVISOR);
+        this.memory = new OpenAttemptMemory(limits.memoryBytes() / OPEN_ATTEMPTS_MEMORY_DIVISOR);
     }
 
     /**
@@ -247,6 +245,11 @@
         return openAttemptCount;
     }
 
+    /** Returns whether all input that was read from clients has been processed. */
+    public boolean isInputProcessed() {
+        return table.all().stream().allMatch(peer -> peer.connection.isInputProcessed());
+    }
+
     /** Sets how long a connection may be idle before it is closed. */
     public void setIdleTimeout(Duration timeout) {
         table.setIdleTimeout(timeout);
--- a/src/main/java/ochretiller/net/SessionHandler.java
+++ b/src/main/java/ochretiller/net/SessionHandler.java
@@ -10,9 +10,9 @@
 import org.apache.mina.core.session.IoSession;
 
 /**
- * Translates MINA's session events into calls of the {@link ConnectionHandler}: decoding on the I/O
- * thread, everything else on the event loop. The subclasses differ in how the input reaches the
- * event loop, and in how they treat a peer that exceeds a limit or violates the protocol.
+ * Translates MINA's session events into calls of the {@link ConnectionHandler}. The subclasses
+ * differ in how the input reaches the event loop, where everything else runs, and in how they treat
+ * a peer that exceeds a limit or violates the protocol.
  */
 abstract class SessionHandler extends IoHandlerAdapter {
     private static final Logger LOG = Logger.getLogger(Network.class.getName());
--- a/src/main/java/ochretiller/node/GracefulShutdown.java
+++ b/src/main/java/ochretiller/node/GracefulShutdown.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.logging.Logger;
+import ochretiller.frontend.ClientConnections;
 import ochretiller.registry.RegistryReporter;
 
 /**
@@ -87,11 +88,13 @@
     }
 
     private void closeWhenAnswered(Duration drainEnd) {
-        if (resources.connections().openAttemptCount() > 0 && loop.now().compareTo(drainEnd) < 0) {
+        ClientConnections connections = resources.connections();
+        boolean isDone = connections.openAttemptCount() == 0 && connections.isInputProcessed();
+        if (!isDone && loop.now().compareTo(drainEnd) < 0) {
             loop.runAfter(POLL_INTERVAL, () -> closeWhenAnswered(drainEnd));
             return;
         }
-        resources.connections().closeAll();
+        connections.closeAll();
         resources.processor().close();
         resources.records().close();
         features.pools().close();
--- a/src/main/java/ochretiller/node/ServerNode.java
+++ b/src/main/java/ochretiller/node/ServerNode.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import ochretiller.frontend.ClientConnections;
+import ochretiller.frontend.ClientLimits;
 import ochretiller.frontend.RequestAttempt;
 import ochretiller.idempotency.IdempotencyCache;
 import ochretiller.jsonrpc.HealthChecks;
@@ -119,10 +120,13 @@
         ClientConnections connections =
                 new ClientConnections(
                         loop,
-                        maxClients,
-                        memoryLimitBytes(),
-                        longestClientTimeout(),
-                        configuration.settings().duration("familyInfo.idleNs", Duration.ZERO),
+                        new ClientLimits(
+                                maxClients,
+                                memoryLimitBytes(),
+                                longestClientTimeout(),
+                                configuration
+                                        .settings()
+                                        .duration("familyInfo.idleNs", Duration.ZERO)),
                         this::onRequestRead,
                         this::onClientDisconnected,
                         attempt -> requestHandler().isKnownRetry(attempt));
--- a/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
+++ b/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
@@ -31,6 +31,7 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(4);
     private static final int LIMIT = 16;
+    private static final long MEMORY_BYTES = 64L * 1024 * 1024;
     private static final Operation READ =
             new Operation(
                     "read",
@@ -44,7 +45,7 @@
                     0);
 
     private final ManualEventLoop loop = new ManualEventLoop();
-    private final Network network = new Network(loop, 64L * 1024 * 1024);
+    private final Network network = new Network(loop, MEMORY_BYTES);
     private final List<RequestAttempt> arrived = new ArrayList<>();
     private final List<RequestAttempt> aborted = new ArrayList<>();
     private final AtomicInteger acceptedCount = new AtomicInteger();
@@ -140,10 +141,7 @@
         clientConnections =
                 new ClientConnections(
                         loop,
-                        LIMIT,
-                        64L * 1024 * 1024,
-                        LONGEST_WAIT,
-                        IDLE_TIMEOUT,
+                        new ClientLimits(LIMIT, MEMORY_BYTES, LONGEST_WAIT, IDLE_TIMEOUT),
                         arrived::add,
                         aborted::add,
                         attempt -> false);
@@ -373,6 +371,19 @@
         expectServed(connect());
     }
 
+    // Guards against a drain that ends before all requests that were read have been looked at.
+    @Test
+    void inputThatWaitsForItsTurnIsNotProcessed() throws Exception {
+        FakeConnection client = connectActive();
+        assertThat(clientConnections.isInputProcessed()).isTrue();
+        client.send("R");
+        loop.awaitPosted(1);
+        assertThat(clientConnections.isInputProcessed()).isFalse();
+        loop.runPosted();
+        assertThat(clientConnections.isInputProcessed()).isTrue();
+        answer();
+    }
+
     @Test
     void drainAsksClientsToLeaveAndClosesAfterAllIsAnswered() throws Exception {
         FakeConnection busy = connectActive();
--- a/src/test/java/ochretiller/node/AttemptFixture.java
+++ b/src/test/java/ochretiller/node/AttemptFixture.java
@@ -13,6 +13,7 @@
 import ochretiller.ManualEventLoop;
 import ochretiller.frontend.ClientConnection;
 import ochretiller.frontend.ClientConnections;
+import ochretiller.frontend.ClientLimits;
 import ochretiller.frontend.FailureReason;
 import ochretiller.frontend.RequestAttempt;
 import ochretiller.model.Operation;
@@ -91,10 +92,11 @@
         connections =
                 new ClientConnections(
                         loop,
-                        MAX_CONNECTIONS,
-                        MEMORY_BYTES,
-                        SECOND.multipliedBy(4),
-                        SECOND.multipliedBy(60),
+                        new ClientLimits(
+                                MAX_CONNECTIONS,
+                                MEMORY_BYTES,
+                                SECOND.multipliedBy(4),
+                                SECOND.multipliedBy(60)),
                         attempt -> {},
                         attempt -> {},
                         attempt -> false);
