Give each connection a turn of a few messages, and go on after one that fails

Cause: a turn ended with the first complete message, so beside hundreds of clients with small requests a usual connection with longer ones got one message a round; and an exception in a message left a turn posted without input, which failed for ever. A turn now ends after four slices of 256 bytes that complete messages, over reads. The buffer of a uwsgi request is freed with it, since it counts as held input. Found by reading; ClientInputTest.turnsGoOnAfterAMessageThatFails holds the second.

--- a/src/main/java/ochretiller/net/ClientInput.java
+++ b/src/main/java/ochretiller/net/ClientInput.java
@@ -9,16 +9,22 @@
 
 /**
  * The input of one client connection. What was read waits as bytes, and the event loop decodes it
- * in turns: each turn ends with the first messages that are complete, and the connection queues up
- * behind all others for the next. While {@link InputLimits#MAX_WAITING_READS} reads wait, nothing
- * more is read, and TCP slows the client down. A client that is slowed down for long is a flood.
+ * in turns: each turn ends after a few messages, and the connection queues up behind all others for
+ * the next. While {@link InputLimits#MAX_WAITING_READS} reads wait, nothing more is read, and TCP
+ * slows the client down. A client that is slowed down for long is a flood.
  *
  * <p>{@link #add} and {@link #end} are called on the I/O thread; everything else runs on the event
  * loop.
  */
 final class ClientInput {
-    /** Bytes that are decoded at once: few enough messages that a turn is short. */
-    private static final int SLICE_BYTES = 1024;
+    /** Bytes that are decoded at once. */
+    private static final int SLICE_BYTES = 256;
+
+    /**
+     * Slices that complete messages, after which a turn ends: as many messages of usual length, or
+     * some more short ones.
+     */
+    private static final int COMPLETED_SLICES_PER_TURN = 4;
 
     /**
      * Input that a connection may send without a pause: as many requests of maximum length as a
@@ -49,6 +55,9 @@
     /** The first byte of the oldest read that is not decoded. */
     private int position;
 
+    /** Whether reads wait, and so a turn is or will be posted. */
+    private boolean hasWaitingReads;
+
     private long bytesBehind;
     private Duration behindSince = Duration.ZERO;
 
@@ -101,54 +110,58 @@
         }
     }
 
-    /** Removes the oldest read, resumes reading, and returns whether further reads wait. */
-    private boolean removeRead() {
+    /** Removes the oldest read, and resumes reading. */
+    private void removeRead() {
         byte[] removed = reads.remove();
         position = 0;
         connection.addQueuedBytes(-Math.max(1, removed.length));
         synchronized (this) {
             waitingReads--;
+            hasWaitingReads = waitingReads > 0;
             if (isSuspended && !hasEnded && !connection.isReadingStopped()) {
                 isSuspended = false;
                 session.resumeRead();
             }
-            return waitingReads > 0;
         }
     }
 
     private void takeTurn() {
-        boolean isWaiting = true;
+        hasWaitingReads = true;
         try {
-            isWaiting = decodeNextMessages();
+            int completed = 0;
+            while (hasWaitingReads && completed < COMPLETED_SLICES_PER_TURN) {
+                completed += processSlice() ? 1 : 0;
+            }
         } finally {
-            if (isWaiting) {
+            if (hasWaitingReads) {
                 scheduler.post(this::takeTurn); // also if a message caused an exception
             }
         }
     }
 
-    /** Decodes until a message is complete; returns whether further input waits. */
-    private boolean decodeNextMessages() {
+    /** Processes some input; returns whether messages were completed by it. */
+    private boolean processSlice() {
+        byte[] read = reads.element();
         if (!connection.isOpen() || connection.isReadingStopped()) {
-            return discardReads();
+            heldInput.remove(this);
+            removeRead(); // ignored, but the I/O thread still notices the end of the input
+            return false;
         }
-        byte[] read = reads.element();
         if (read == END) {
             removeRead();
             handler.onInputEnded();
-            return false;
+            return true;
         }
         connection.markUsed(scheduler.now());
-        Optional<Runnable> work = Optional.empty();
-        while (work.isEmpty() && position < read.length && !connection.isReadingStopped()) {
-            work = decodeSlice(read);
+        Optional<Runnable> work = decodeSlice(read);
+        if (position == read.length) {
+            removeRead();
         }
-        boolean isWaiting = position < read.length || removeRead();
-        checkRate(isWaiting);
+        checkRate();
         work.ifPresent(Runnable::run);
         heldInput.update(this, handler.heldInputBytes(), work.isPresent());
         heldInput.closeExcess();
-        return isWaiting;
+        return work.isPresent();
     }
 
     private Optional<Runnable> decodeSlice(byte[] read) {
@@ -186,8 +199,8 @@
     }
 
     /** Closes a connection that has sent more than it may, and still sends faster than is read. */
-    private void checkRate(boolean isWaiting) {
-        if (!isWaiting) {
+    private void checkRate() {
+        if (!hasWaitingReads) {
             bytesBehind = 0;
         } else if (bytesBehind > MAX_BYTES_BEHIND
                 && scheduler.now().minus(behindSince).compareTo(MAX_TIME_BEHIND) >= 0
@@ -204,12 +217,6 @@
         events.disconnect(connection, handler, code);
     }
 
-    /** Ignores all that was read; the end of the input is still noticed by the I/O thread. */
-    private boolean discardReads() {
-        heldInput.remove(this);
-        return removeRead();
-    }
-
     /** Releases what the connection holds, when it has been closed. */
     void release() {
         heldInput.remove(this);
--- a/src/main/java/ochretiller/uwsgi/UwsgiRequestDecoder.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiRequestDecoder.java
@@ -25,9 +25,6 @@
     /** Initial size of the buffer. */
     private static final int MIN_BUFFER_BYTES = 512;
 
-    /** Maximum size of a buffer that is kept after the request. */
-    private static final int MAX_RETAINED_BUFFER_BYTES = 8 * 1024;
-
     /** The part of a request that is read next. */
     private enum Part {
         HEADER,
@@ -56,7 +53,7 @@
         return part != Part.HEADER || bufferedBytes > 0;
     }
 
-    /** Returns the memory, in bytes, that holds an incomplete request and an unused buffer. */
+    /** Returns the memory, in bytes, that holds an incomplete request. */
     public long heldBytes() {
         return buffer.length + (vars == null ? 0 : UwsgiVariables.heldBytes(vars));
     }
@@ -164,10 +161,7 @@
     private void deliver(Consumer<UwsgiRequest> consumer, UwsgiRequest request) {
         vars = null;
         startPart(Part.HEADER, HEADER_BYTES);
-        if (buffer.length > MAX_RETAINED_BUFFER_BYTES) {
-            // One long request must not occupy memory until the connection is closed.
-            buffer = new byte[0];
-        }
+        buffer = new byte[0]; // a request must not occupy memory until the connection is closed
         consumer.accept(request);
     }
 }
--- a/src/test/java/ochretiller/net/ClientInputTest.java
+++ b/src/test/java/ochretiller/net/ClientInputTest.java
@@ -1,6 +1,7 @@
 package ochretiller.net;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,7 +15,8 @@
 
 /** Tests in which order the input of clients is processed, and what of it is held in memory. */
 class ClientInputTest {
-    private static final int SLICE_BYTES = 1_024;
+    private static final int SLICE_BYTES = 256;
+    private static final int TURN_BYTES = 4 * SLICE_BYTES;
     private static final int HELD_BYTES = 8 * SLICE_BYTES;
 
     private final ManualEventLoop loop = new ManualEventLoop();
@@ -36,6 +38,7 @@
                         new AcceptedSessionHandler(network, loop, "test", unused -> this),
                         heldInput);
         private long held;
+        private int failures;
 
         Client(String name) {
             this.name = name;
@@ -57,7 +60,15 @@
                 return null;
             }
             held = 0;
-            return () -> processed.add(name);
+            return this::process;
+        }
+
+        private void process() {
+            if (failures > 0) {
+                failures--;
+                throw new IllegalStateException("this message fails");
+            }
+            processed.add(name);
         }
 
         @Override
@@ -98,13 +109,36 @@
     // Guards against clients that wait for the answers of others: one that sends without a pause
     // gets one turn, then all others get theirs.
     @Test
-    void clientsTakeTurns() {
+    void clientsTakeTurns() throws Exception {
         Client fast = new Client("fast");
         Client usual = new Client("usual");
-        fast.send(4 * SLICE_BYTES, '\n');
+        fast.send(3 * TURN_BYTES, '\n');
         usual.send(100, '\n');
+        loop.runNext();
+        assertThat(processed).hasSize(4).containsOnly("fast");
+        loop.runNext();
+        assertThat(processed).hasSize(5).endsWith("usual");
+        loop.runPosted();
+        assertThat(processed).hasSize(13);
+    }
+
+    // Guards against a connection that is never read again, or a loop that spins, because the
+    // processing of one message failed.
+    @Test
+    void turnsGoOnAfterAMessageThatFails() throws Exception {
+        Client client = new Client("client");
+        client.failures = 1;
+        client.send(SLICE_BYTES, '\n');
+        assertThatThrownBy(loop::runPosted).isInstanceOf(IllegalStateException.class);
+        loop.runPosted();
+        client.send(SLICE_BYTES, '\n');
+        loop.runPosted();
+        client.failures = 1;
+        client.send(2 * SLICE_BYTES, '\n');
+        assertThatThrownBy(loop::runPosted).isInstanceOf(IllegalStateException.class);
         loop.runPosted();
-        assertThat(processed).containsExactly("fast", "usual", "fast", "fast", "fast");
+        assertThat(processed).containsExactly("client", "client");
+        assertThat(client.connection.isInputProcessed()).isTrue();
     }
 
     // Guards against memory that grows with the input of clients that send faster than is served.
@@ -162,16 +196,16 @@
     @Test
     void clientThatSendsTooFastForLongIsClosedAndABurstIsNot() throws Exception {
         Client client = new Client("client");
-        client.send(4 * SLICE_BYTES, '\n');
+        client.send(4 * TURN_BYTES, '\n');
         for (int i = 0; i < 60; i++) {
-            client.send(4 * SLICE_BYTES, '\n');
+            client.send(4 * TURN_BYTES, '\n');
             while (client.session.isReadSuspended()) {
                 loop.runNext();
             }
         }
         assertThat(closed).isEmpty();
         loop.advanceTimers(Duration.ofSeconds(1));
-        client.send(4 * SLICE_BYTES, '\n');
+        client.send(4 * TURN_BYTES, '\n');
         loop.runPosted();
         assertThat(closed).containsExactly("client FLOOD");
     }
