Keep the account of equal shares once, for held input and open attempts

HeldInput and OpenAttemptMemory each kept bytes by connection, a total and an equal share. SharedCapacity in collections does it for both; what becomes of a holder over its share stays with each. UwsgiConnection's flag is named after what it does, as it is also set when input is discarded, and HostileClientsIT builds its read requests and its run handler in one place. No behaviour, bound or assertion changed.

--- /dev/null
+++ b/src/main/java/ochretiller/collections/SharedCapacity.java
@@ -0,0 +1,54 @@
+package ochretiller.collections;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * An account of what several holders take of a common capacity. It only counts: its user decides
+ * what becomes of a holder that takes more than an equal share while the capacity is exceeded. Not
+ * thread-safe.
+ *
+ * @param <K> the type of the holders
+ */
+public final class SharedCapacity<K> {
+    private final long capacity;
+
+    /** Amounts above zero, in the order in which their holders began to hold. */
+    private final Map<K, Long> amounts = new LinkedHashMap<>();
+
+    private long total;
+
+    /** Creates an account without holders. */
+    public SharedCapacity(long capacity) {
+        this.capacity = capacity;
+    }
+
+    /** Sets what a holder takes; with zero it is no holder any more. */
+    public void set(K holder, long amount) {
+        Long before = amount == 0 ? amounts.remove(holder) : amounts.put(holder, amount);
+        total += amount - (before == null ? 0 : before);
+    }
+
+    /** Returns what a holder takes, zero if it is none. */
+    public long get(K holder) {
+        return amounts.getOrDefault(holder, 0L);
+    }
+
+    /** Returns whether all holders together take more than the capacity. */
+    public boolean isExceeded() {
+        return total > capacity;
+    }
+
+    /** Returns whether a holder takes more than the capacity divided by the number of holders. */
+    public boolean isOverShare(K holder) {
+        return get(holder) > capacity / amounts.size();
+    }
+
+    /**
+     * Returns the holder over its share that has held longest. There is one while the capacity is
+     * exceeded: if nobody took more than an equal share, the total would fit.
+     */
+    public K oldestOverShare() {
+        return amounts.keySet().stream().filter(this::isOverShare).findFirst().orElseThrow();
+    }
+}
--- a/src/main/java/ochretiller/frontend/OpenAttemptMemory.java
+++ b/src/main/java/ochretiller/frontend/OpenAttemptMemory.java
@@ -1,7 +1,6 @@
 package ochretiller.frontend;
 
-import java.util.HashMap;
-import java.util.Map;
+import ochretiller.collections.SharedCapacity;
 
 /**
  * The memory of all unanswered attempts, by connection. While it is scarce, a connection may hold
@@ -12,9 +11,7 @@
     /** Memory of an attempt beside its body: its objects here, in admission and in the tables. */
     private static final int ATTEMPT_OVERHEAD_BYTES = 1_536;
 
-    private final long capacityBytes;
-    private final Map<ClientConnection, Long> heldBytes = new HashMap<>();
-    private long totalBytes;
+    private final SharedCapacity<ClientConnection> memory;
 
     /**
      * Creates an account without attempts.
@@ -22,7 +19,7 @@
      * @param capacityBytes memory above which connections are held to their share
      */
     OpenAttemptMemory(long capacityBytes) {
-        this.capacityBytes = capacityBytes;
+        memory = new SharedCapacity<>(capacityBytes);
     }
 
     private static long bytesOf(RequestAttempt attempt) {
@@ -31,17 +28,14 @@
 
     /** Adds an attempt; returns false if its connection then exceeds its share of scarce memory. */
     boolean add(RequestAttempt attempt) {
-        long bytes = bytesOf(attempt);
-        long held = heldBytes.merge(attempt.clientConnection, bytes, Long::sum);
-        totalBytes += bytes;
-        return totalBytes <= capacityBytes || held <= capacityBytes / heldBytes.size();
+        ClientConnection peer = attempt.clientConnection;
+        memory.set(peer, memory.get(peer) + bytesOf(attempt));
+        return !(memory.isExceeded() && memory.isOverShare(peer));
     }
 
     /** Removes an attempt that was added and is answered now. */
     void remove(RequestAttempt attempt) {
-        long bytes = bytesOf(attempt);
-        totalBytes -= bytes;
-        heldBytes.computeIfPresent(
-                attempt.clientConnection, (peer, held) -> held > bytes ? held - bytes : null);
+        ClientConnection peer = attempt.clientConnection;
+        memory.set(peer, memory.get(peer) - bytesOf(attempt));
     }
 }
--- a/src/main/java/ochretiller/net/HeldInput.java
+++ b/src/main/java/ochretiller/net/HeldInput.java
@@ -1,7 +1,6 @@
 package ochretiller.net;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
+import ochretiller.collections.SharedCapacity;
 
 /**
  * The memory that the decoders of all client connections hold for input that is no request yet:
@@ -9,12 +8,7 @@
  * the event loop.
  */
 final class HeldInput {
-    private final long capacityBytes;
-
-    /** Bytes by connection, in the order in which they began to hold their present input. */
-    private final Map<ClientInput, Long> heldBytes = new LinkedHashMap<>();
-
-    private long totalBytes;
+    private final SharedCapacity<ClientInput> memory;
 
     /**
      * Creates an account without entries.
@@ -22,7 +16,7 @@
      * @param capacityBytes the memory that all connections together may hold
      */
     HeldInput(long capacityBytes) {
-        this.capacityBytes = capacityBytes;
+        memory = new SharedCapacity<>(capacityBytes);
     }
 
     /**
@@ -33,21 +27,15 @@
      *     what is held is younger than that
      */
     void update(ClientInput input, long bytes, boolean hasCompletedMessage) {
-        if (bytes == 0 || hasCompletedMessage) {
+        if (hasCompletedMessage) {
             remove(input);
         }
-        if (bytes > 0) {
-            Long before = heldBytes.put(input, bytes);
-            totalBytes += bytes - (before == null ? 0 : before);
-        }
+        memory.set(input, bytes);
     }
 
     /** Removes a connection. */
     void remove(ClientInput input) {
-        Long removed = heldBytes.remove(input);
-        if (removed != null) {
-            totalBytes -= removed;
-        }
+        memory.set(input, 0);
     }
 
     /**
@@ -56,25 +44,14 @@
      * a short time only, and is not chosen while others hold theirs.
      */
     void closeExcess() {
-        while (totalBytes > capacityBytes) {
-            ClientInput oldest = oldestOverShare();
-            long recordedBytes = heldBytes.get(oldest);
-            if (oldest.heldBytes() < recordedBytes) {
-                update(oldest, oldest.heldBytes(), false); // its requests were served meanwhile
+        while (memory.isExceeded()) {
+            ClientInput oldest = memory.oldestOverShare();
+            if (oldest.heldBytes() < memory.get(oldest)) {
+                memory.set(oldest, oldest.heldBytes()); // its requests were served meanwhile
             } else {
                 remove(oldest);
                 oldest.disconnect(CloseCode.FLOOD);
             }
         }
     }
-
-    /** There is always one: if nobody held more than the share, the total would fit. */
-    private ClientInput oldestOverShare() {
-        long share = capacityBytes / heldBytes.size();
-        return heldBytes.entrySet().stream()
-                .filter(entry -> entry.getValue() > share)
-                .map(Map.Entry::getKey)
-                .findFirst()
-                .orElseThrow();
-    }
 }
--- a/src/main/java/ochretiller/uwsgi/UwsgiConnection.java
+++ b/src/main/java/ochretiller/uwsgi/UwsgiConnection.java
@@ -31,8 +31,8 @@
     /** The memory that {@link #waitingInputs} take. */
     private long waitingBytes;
 
-    /** Whether malformed input was received or input discarded, after which decoding stops. */
-    private boolean isInputMalformed;
+    /** Set when malformed input was received or input was discarded. */
+    private boolean isDecodingStopped;
 
     private long lastRequestNumber;
     private boolean hasAnswered;
@@ -68,14 +68,14 @@
 
     @Override
     public Runnable decode(byte[] bytes, int from, int to) {
-        if (isInputMalformed) {
+        if (isDecodingStopped) {
             return null;
         }
         List<Input> inputs = new ArrayList<>(1);
         try {
             decoder.decode(bytes, from, to, request -> inputs.add(new Input.Valid(request)));
         } catch (UwsgiException e) {
-            isInputMalformed = true;
+            isDecodingStopped = true;
             inputs.add(new Input.Malformed(e));
         }
         return inputs.isEmpty() ? null : () -> enqueue(inputs);
@@ -93,7 +93,7 @@
 
     @Override
     public void discardInput() {
-        isInputMalformed = true;
+        isDecodingStopped = true;
         decoder.discard();
         waitingInputs.clear();
         waitingBytes = 0;
--- a/src/test/java/ochretiller/HostileClientsIT.java
+++ b/src/test/java/ochretiller/HostileClientsIT.java
@@ -66,6 +66,15 @@
         return String.format("%016x", number);
     }
 
+    private String read(long id, String body) {
+        return message(id, "read", GatewayMessages.params(nextRid(), null, body));
+    }
+
+    private void completeAllRuns() {
+        deployment.services.runHandler =
+                (rid, operation, body) -> deployment.services.complete(rid, "done");
+    }
+
     private String order(long id, String body) {
         return message(id, "order", GatewayMessages.params(nextRid(), TOKEN, body));
     }
@@ -133,17 +142,12 @@
     @Test
     void usualRequestsBesideAFloodAreAllAnswered() throws Exception {
         start(64, 512);
-        deployment.services.runHandler =
-                (rid, operation, body) -> deployment.services.complete(rid, "done");
+        completeAllRuns();
         FakeConnection usual = connect();
         startFlood(60, 300, "x".repeat(240));
         for (int group = 0; group < 60; group++) {
             for (int i = 0; i < 5; i++) {
-                usual.send(
-                        message(
-                                group * 5L + i,
-                                "read",
-                                GatewayMessages.params(nextRid(), null, "x".repeat(2_000))));
+                usual.send(read(group * 5L + i, "x".repeat(2_000)));
             }
             for (int i = 0; i < 5; i++) {
                 assertThat(usual.readLine()).contains("\"id\":");
@@ -174,14 +178,13 @@
     @Test
     void requestsBesideOneClientAtFullSpeedAreServedInTime() throws Exception {
         start(64, 512);
-        deployment.services.runHandler =
-                (rid, operation, body) -> deployment.services.complete(rid, "done");
+        completeAllRuns();
         DaemonThreads.start(this::sendUnsoundRequests);
         FakeConnection usual = connect();
         long slowestNanos = 0;
         for (int served = 0; served < 300 || floodAnswers.get() < 300_000; served++) {
             long start = System.nanoTime();
-            usual.send(message(served, "read", GatewayMessages.params(nextRid(), null, "good")));
+            usual.send(read(served, "good"));
             assertThat(usual.readLine()).contains("\"result\"");
             slowestNanos = Math.max(slowestNanos, System.nanoTime() - start);
         }
@@ -194,8 +197,7 @@
     @Test
     void clientsThatStopHalfWayThroughARequestDoNotEndTheServer() throws Exception {
         start(64, 1_024);
-        deployment.services.runHandler =
-                (rid, operation, body) -> deployment.services.complete(rid, "done");
+        completeAllRuns();
         FakeConnection usual = connect();
         for (int i = 0; i < 500; i++) {
             FakeConnection slow = connect();
@@ -204,7 +206,7 @@
             slow.sendUntilClosed("{\"jsonrpc\":\"2.0\",\"id\":2," + "\"a\":1,".repeat(1_300), 1);
         }
         await(deployment.log, "connection gateway .* ended: FLOOD");
-        usual.send(message(1, "read", GatewayMessages.params(nextRid(), null, "x".repeat(2_000))));
+        usual.send(read(1, "x".repeat(2_000)));
         assertThat(usual.readLine()).contains("\"result\"");
         assertThat(deployment.isAlive()).isTrue();
     }
@@ -215,14 +217,14 @@
         deployment = new Deployment(json -> json.replace("\"pure\"", "\"unsafe\""));
         await(deployment.received, "usage fence");
         FakeConnection first = connect();
-        String request = message(1, "read", GatewayMessages.params(nextRid(), null, "wait"));
+        String request = read(1, "wait");
         first.send(request);
         await(deployment.received, "begin " + rid(1));
         first.reset();
         await(deployment.log, "connection gateway .* ended: BROKEN");
         deployment.services.complete(rid(1), "ran");
         FakeConnection second = connect();
-        second.send(message(1, "read", GatewayMessages.params(nextRid(), null, "good")));
+        second.send(read(1, "good"));
         assertThat(second.readLine()).contains("\"result\"");
         second.send(request);
         assertThat(second.readLine()).contains("\"error\"").contains("rid is in use");
