Don't count the end of a client's input as input that is not processed

Cause: since input waits for its turn, the end of input counted as a byte, so that connections at their end could not be closed to make room, and the newest was chosen. Evidence: with the order forced, ClientConnectionsTest.newClientStaysBesideSilentOnesThatHaveLeft had "shutdown" for "done" on the code before; it passes now, as the end counts nothing and what was sent before it still does.

--- a/src/main/java/ochretiller/net/ClientInput.java
+++ b/src/main/java/ochretiller/net/ClientInput.java
@@ -92,7 +92,7 @@
 
     private void enqueue(byte[] read) {
         reads.add(read);
-        connection.addQueuedBytes(Math.max(1, read.length));
+        connection.addQueuedBytes(read.length); // nothing for the end: no request is lost with it
         boolean isFirst;
         synchronized (this) {
             waitingReads++;
@@ -114,7 +114,7 @@
     private void removeRead() {
         byte[] removed = reads.remove();
         position = 0;
-        connection.addQueuedBytes(-Math.max(1, removed.length));
+        connection.addQueuedBytes(-removed.length);
         synchronized (this) {
             waitingReads--;
             hasWaitingReads = waitingReads > 0;
--- a/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
+++ b/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
@@ -371,6 +371,28 @@
         expectServed(connect());
     }
 
+    // Guards against a new client that is asked to leave in place of silent ones, because the ends
+    // of
+    // their input were read but not processed yet.
+    @Test
+    void newClientStaysBesideSilentOnesThatHaveLeft() throws Exception {
+        List<FakeConnection> silent = new ArrayList<>();
+        for (int i = 0; i < LIMIT / 4; i++) {
+            silent.add(connect());
+        }
+        FakeConnection newest =
+                new FakeConnection(new Socket(InetAddress.getLoopbackAddress(), port));
+        clients.add(newest);
+        loop.awaitPosted(1); // accepted, but not added yet
+        for (FakeConnection client : silent) {
+            client.close();
+        }
+        loop.awaitPosted(1 + silent.size());
+        loop.runPosted();
+        network.flush();
+        expectServed(newest);
+    }
+
     // Guards against a drain that ends before all requests that were read have been looked at.
     @Test
     void inputThatWaitsForItsTurnIsNotProcessed() throws Exception {
