Close who has held input longest above half an equal share, not above a whole one

A usual client whose request came in two parts was closed as FLOOD, without an answer, while slow clients held a little less than an equal share each and so filled the capacity: it was the only one above its share. Evidence: ClientInputTest.usualClientStaysBesideSlowOnesBelowTheirShare had "usual FLOOD" on the code before, now "slow 1 FLOOD". All holders below half a share take less than half of the capacity, so there always is one to close, and they can't fill it.

--- a/src/main/java/ochretiller/collections/SharedCapacity.java
+++ b/src/main/java/ochretiller/collections/SharedCapacity.java
@@ -45,10 +45,15 @@
     }
 
     /**
-     * Returns the holder over its share that has held longest. There is one while the capacity is
-     * exceeded: if nobody took more than an equal share, the total would fit.
+     * Returns the holder that has held longest, of those that take more than half an equal share.
+     * There is one while the capacity is exceeded: all others together take less than half of the
+     * capacity. With a whole share, holders just below it would leave a single one that takes more
+     * for a moment as the only choice.
      */
-    public K oldestOverShare() {
-        return amounts.keySet().stream().filter(this::isOverShare).findFirst().orElseThrow();
+    public K oldestOverHalfShare() {
+        return amounts.keySet().stream()
+                .filter(holder -> 2 * get(holder) > capacity / amounts.size())
+                .findFirst()
+                .orElseThrow();
     }
 }
--- a/src/main/java/ochretiller/net/HeldInput.java
+++ b/src/main/java/ochretiller/net/HeldInput.java
@@ -39,13 +39,13 @@
     }
 
     /**
-     * Closes connections while the capacity is exceeded: of those that hold more than an equal
+     * Closes connections while the capacity is exceeded: of those that hold more than half an equal
      * share, the one that has held its input longest. Whoever sends whole requests holds input for
      * a short time only, and is not chosen while others hold theirs.
      */
     void closeExcess() {
         while (memory.isExceeded()) {
-            ClientInput oldest = memory.oldestOverShare();
+            ClientInput oldest = memory.oldestOverHalfShare();
             if (oldest.heldBytes() < memory.get(oldest)) {
                 memory.set(oldest, oldest.heldBytes()); // its requests were served meanwhile
             } else {
--- a/src/test/java/ochretiller/net/ClientInputTest.java
+++ b/src/test/java/ochretiller/net/ClientInputTest.java
@@ -192,6 +192,23 @@
         assertThat(processed).containsExactly("usual");
     }
 
+    // Guards against a usual client that is closed for the memory that many slow ones hold, each of
+    // them a little less than an equal share.
+    @Test
+    void usualClientStaysBesideSlowOnesBelowTheirShare() {
+        for (int i = 1; i <= 5; i++) {
+            new Client("slow " + i).send(340, '.');
+        }
+        loop.runPosted();
+        Client usual = new Client("usual");
+        usual.send(2 * SLICE_BYTES, '.');
+        loop.runPosted();
+        usual.send(SLICE_BYTES, '\n');
+        loop.runPosted();
+        assertThat(closed).containsExactly("slow 1 FLOOD");
+        assertThat(processed).containsExactly("usual");
+    }
+
     // Guards against a flood that takes its turns for ever, and against a close for one burst.
     @Test
     void clientThatSendsTooFastForLongIsClosedAndABurstIsNot() throws Exception {
