Account for unread answers as held, and close who has read nothing for the longest time

Unread answers of all clients may take a 24th of the memory. They were counted as sent, while the objects of a small write take several times its bytes, and above the share whoever had 16 KiB waiting was closed at its next write: a usual client in a burst of answers, or a link. Found by reading. UnreadOutput now counts bytes and writes by client connection; above the share the client that has read nothing for the longest time goes, of those over half an equal share. UnreadOutputTest holds it (3 of 3; it needs the new account, so it doesn't compile before).

--- a/src/main/java/ochretiller/collections/SharedCapacity.java
+++ b/src/main/java/ochretiller/collections/SharedCapacity.java
@@ -1,7 +1,9 @@
 package ochretiller.collections;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * An account of what several holders take of a common capacity. It only counts: its user decides
@@ -34,6 +36,11 @@
         return amounts.getOrDefault(holder, 0L);
     }
 
+    /** Returns all holders, in the order in which they began to hold. */
+    public Set<K> holders() {
+        return Collections.unmodifiableSet(amounts.keySet());
+    }
+
     /** Returns whether all holders together take more than the capacity. */
     public boolean isExceeded() {
         return total > capacity;
--- a/src/main/java/ochretiller/net/AcceptedSessionHandler.java
+++ b/src/main/java/ochretiller/net/AcceptedSessionHandler.java
@@ -83,5 +83,6 @@
     @Override
     void onReleased(IoSession session) {
         input(session).release();
+        network.unreadOutput().remove(connection(session));
     }
 }
--- a/src/main/java/ochretiller/net/Connection.java
+++ b/src/main/java/ochretiller/net/Connection.java
@@ -21,8 +21,8 @@
      */
     private static final long MAX_UNREAD_BYTES = 192 * 1024;
 
-    /** The same limit while unread output of all clients exceeds its share of the memory. */
-    private static final long MAX_UNREAD_BYTES_UNDER_PRESSURE = 16 * 1024;
+    /** Memory of a write beside its bytes: the request, its future, the buffer and the queue's. */
+    private static final int WRITE_OVERHEAD_BYTES = 320;
 
     /**
      * Interval between checks whether a closing connection can be closed for good. The first check
@@ -49,6 +49,7 @@
     private volatile Optional<Duration> incompleteSince = Optional.empty();
     private Optional<WriteFuture> lastWrite = Optional.empty();
     private Duration lastUsedAt;
+    private long sentBytesSeen;
 
     /**
      * Wraps an open session.
@@ -117,14 +118,28 @@
         if (!isOpen() || output.size() == 0) {
             return;
         }
-        long unread = session.getScheduledWriteBytes() + output.size();
-        if (unread > MAX_UNREAD_BYTES
-                || unread > MAX_UNREAD_BYTES_UNDER_PRESSURE && network.isUnreadOutputHigh()) {
+        if (session.getScheduledWriteBytes() + output.size() > MAX_UNREAD_BYTES) {
             drop(CloseCode.NOT_READING);
             return;
         }
         lastWrite = Optional.of(session.write(IoBuffer.wrap(output.toByteArray())));
         output.reset();
+        if (isLingering) {
+            network.unreadOutput().update(this);
+        }
+    }
+
+    /** Returns the memory, in bytes, of the output that the peer has not read. */
+    long unreadMemoryBytes() {
+        return session.getScheduledWriteBytes()
+                + (long) session.getScheduledWriteMessages() * WRITE_OVERHEAD_BYTES;
+    }
+
+    /** Returns whether the peer has taken output since the last call. */
+    boolean hasMadeProgress() {
+        long before = sentBytesSeen;
+        sentBytesSeen = session.getWrittenBytes();
+        return sentBytesSeen > before;
     }
 
     /**
--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -44,9 +44,9 @@
     private final NioProcessor acceptedProcessor = new ClientProcessor(threads);
     private final NioProcessor outboundProcessor = new NioProcessor(threads);
     private final NioSocketConnector connector = new NioSocketConnector(threads, outboundProcessor);
-    private final long memoryBytes;
     private final InputLimits inputLimits;
     private final HeldInput heldInput;
+    private final UnreadOutput unreadOutput;
     private final Set<Connection> dirtyConnections = new LinkedHashSet<>();
     private final Set<InetSocketAddress> unreachableAddresses = ConcurrentHashMap.newKeySet();
     private final List<Acceptor> acceptors = new ArrayList<>();
@@ -70,9 +70,9 @@
      */
     public Network(Scheduler scheduler, long memoryBytes, int maxClientConnections) {
         this.scheduler = scheduler;
-        this.memoryBytes = memoryBytes;
         inputLimits = InputLimits.of(memoryBytes, maxClientConnections);
         heldInput = new HeldInput(inputLimits.heldBytes());
+        unreadOutput = new UnreadOutput(memoryBytes / UNREAD_MEMORY_DIVISOR);
         configure(connector.getSessionConfig(), MAX_READ_BYTES);
         connector.setConnectTimeoutMillis(CONNECT_TIMEOUT_MILLIS);
         connector.setHandler(new OutboundSessionHandler(this, scheduler));
@@ -184,20 +184,16 @@
         dirtyConnections.add(connection);
     }
 
-    /** Returns whether the output that clients have not read exceeds its share of the memory. */
-    boolean isUnreadOutputHigh() {
-        long unread = 0;
-        for (Acceptor acceptor : acceptors) {
-            unread += acceptor.getScheduledWriteBytes();
-        }
-        return unread > memoryBytes / UNREAD_MEMORY_DIVISOR;
-    }
-
     /** Returns the account of the input that client connections hold. */
     HeldInput heldInput() {
         return heldInput;
     }
 
+    /** Returns the account of the output that clients have not read. */
+    UnreadOutput unreadOutput() {
+        return unreadOutput;
+    }
+
     /** Sends the output of the current event loop round, in a single write per connection. */
     public void flush() {
         if (dirtyConnections.isEmpty()) {
@@ -206,6 +202,7 @@
         List<Connection> written = new ArrayList<>(dirtyConnections);
         dirtyConnections.clear();
         written.forEach(Connection::flush);
+        unreadOutput.closeExcess();
     }
 
     /** Closes all connections, discards unsent output and stops the I/O threads. */
