--- a/src/main/java/ochretiller/node/AdmissionSession.java
+++ b/src/main/java/ochretiller/node/AdmissionSession.java
@@ -26,6 +26,10 @@
     private final AdmissionController admission;
     private final AdmissionClock clock;
     private final IdempotencyCache cache;
+
+    /** Retries that conflict with their original, and are to be compared with it again. */
+    private final AttemptTimers conflictTimers;
+
     private final AttemptTable attempts;
     private final ServerActions actions;
     private final PreviousRunRecovery recovery;
@@ -45,7 +49,8 @@
         this.admission = admission;
         this.cache = cache;
         clock = new AdmissionClock(resources.scheduler(), processorAge);
-        attempts = new AttemptTable(resources.connections(), cache, clock);
+        conflictTimers = new AttemptTimers(resources.scheduler(), this::recheckConflict);
+        attempts = new AttemptTable(resources.connections(), cache, clock, conflictTimers);
         actions = new ServerActionsAdapter(resources, features, clock, cache, attempts);
         recovery =
                 new PreviousRunRecovery(admission, actions, cache, resources.processor(), features);
@@ -84,9 +89,7 @@
         if (conflicts) {
             // Another client may have used the key first: if the processor rejects that request
             // without running it, this one may run.
-            resources
-                    .scheduler()
-                    .runAfter(CONFLICT_WAIT, () -> recheckConflict(attempt, original.get()));
+            conflictTimers.add(attempt, CONFLICT_WAIT);
         }
         execute(admission.onInvocationReceived(invocation(attempt, original)));
     }
@@ -110,8 +113,9 @@
                 false);
     }
 
-    private void recheckConflict(RequestAttempt attempt, InvocationId original) {
-        if (!attempt.isAnswered() && conflicts(attempt, original)) {
+    private void recheckConflict(RequestAttempt attempt) {
+        Optional<InvocationId> original = attempts.originalOf(attempt);
+        if (!attempt.isAnswered() && original.isPresent() && conflicts(attempt, original.get())) {
             resources.connections().fail(attempt, FailureReason.BODY_MISMATCH);
             onClientDisconnected(attempt);
         }
--- a/src/main/java/ochretiller/node/AttemptTable.java
+++ b/src/main/java/ochretiller/node/AttemptTable.java
@@ -19,6 +19,7 @@
     private final ClientConnections connections;
     private final IdempotencyCache cache;
     private final AdmissionClock clock;
+    private final AttemptTimers conflictTimers;
     private final Map<InvocationId, Entry> entries = new HashMap<>();
 
     private static final class Entry {
@@ -34,10 +35,15 @@
         }
     }
 
-    AttemptTable(ClientConnections connections, IdempotencyCache cache, AdmissionClock clock) {
+    AttemptTable(
+            ClientConnections connections,
+            IdempotencyCache cache,
+            AdmissionClock clock,
+            AttemptTimers conflictTimers) {
         this.connections = connections;
         this.cache = cache;
         this.clock = clock;
+        this.conflictTimers = conflictTimers;
     }
 
     /**
@@ -109,6 +115,7 @@
         if (!attempt.isAnswered() || attempt.isRunning() || entries.remove(attempt.id) == null) {
             return;
         }
+        conflictTimers.remove(attempt);
         cache.complete(attempt.id, Optional.empty(), clock.now());
         connections.removeAttempt(attempt);
     }
--- a/src/test/java/ochretiller/HostileClientsIT.java
+++ b/src/test/java/ochretiller/HostileClientsIT.java
@@ -259,4 +259,46 @@
         assertThat(usual.readLine()).contains(GatewayMessages.base64("ran"));
         assertThat(deployment.isAlive()).isTrue();
     }
+
+    /** Sends retries of an order with other bodies and leaves, again and again. */
+    private void sendConflictingRetries() throws IOException {
+        String body = "y".repeat(2_000);
+        while (!isFloodOver.get()) {
+            StringBuilder retries = new StringBuilder();
+            for (int id = 1; id <= 31; id++) {
+                String rid = String.format("f%015x", floodRequests.incrementAndGet());
+                retries.append(message(id, "order", GatewayMessages.params(rid, TOKEN, body)));
+            }
+            FakeConnection leaving = deployment.connect();
+            leaving.sendUntilClosed(retries + message(32, "ping", "{}"), 1);
+            for (String line = leaving.readLine(); line != null; line = leaving.readLine()) {
+                if (line.contains("\"id\":32,")) {
+                    floodAnswers.incrementAndGet(); // all retries before it were read
+                    break;
+                }
+            }
+            leaving.reset();
+        }
+    }
+
+    // Guards against memory that grows with retries whose clients have left, because each is to be
+    // compared with the order it repeats a second later.
+    @Test
+    void conflictingRetriesOfClientsThatLeaveDoNotEndTheServer() throws Exception {
+        start(44, 256, 30);
+        deployment.services.runHandler = (rid, operation, body) -> {};
+        FakeConnection usual = connect();
+        usual.send(order(1, "x"));
+        await(deployment.received, "begin .* order");
+        for (int i = 0; i < 20; i++) {
+            DaemonThreads.start(this::sendConflictingRetries);
+        }
+        while (floodAnswers.get() < 2_000 && deployment.isAlive()) {
+            Thread.onSpinWait();
+        }
+        isFloodOver.set(true);
+        assertThat(deployment.isAlive()).isTrue();
+        deployment.services.complete(rid(1), "ran");
+        assertThat(usual.readLine()).contains(GatewayMessages.base64("ran"));
+    }
 }
--- a/src/test/java/ochretiller/node/InvocationExecutorTest.java
+++ b/src/test/java/ochretiller/node/InvocationExecutorTest.java
@@ -40,7 +40,8 @@
         store = new FakeStore(fixture.loop, events);
         AdmissionClock clock = new AdmissionClock(fixture.loop, Duration.ZERO);
         IdempotencyCache cache = new IdempotencyCache(1_000, Duration.ZERO);
-        attempts = new AttemptTable(fixture.connections, cache, clock);
+        AttemptTimers conflictTimers = new AttemptTimers(fixture.loop, attempt -> {});
+        attempts = new AttemptTable(fixture.connections, cache, clock, conflictTimers);
         ServerResources resources =
                 new ServerResources(
                         fixture.loop,
