Forget a retry that waits for the processor when its client leaves

At the start of a server that remembers results, a retry of an order that a previous process ran waits for the processor. Cause: onClientDisconnected did nothing, and a timer of its own held each retry. StartupRequestHandlerTest.retryIsForgottenWhenItsClientLeaves fails on the code before (the id is still in use) and passes.

--- a/src/main/java/ochretiller/node/StartupRequestHandler.java
+++ b/src/main/java/ochretiller/node/StartupRequestHandler.java
@@ -1,9 +1,10 @@
 package ochretiller.node;
 
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import ochretiller.frontend.ClientConnections;
 import ochretiller.frontend.FailureReason;
 import ochretiller.frontend.RequestAttempt;
@@ -23,13 +24,19 @@
     private final Scheduler scheduler;
     private final ClientConnections connections;
     private final IdempotencyStore store;
-    private final List<RequestAttempt> waitingRetries = new ArrayList<>();
+
+    /** Retries that wait for the processor, in the order of their arrival. */
+    private final Set<RequestAttempt> waitingRetries = new LinkedHashSet<>();
+
+    /** When retries that still wait get an error. */
+    private final AttemptTimers deadlines;
 
     StartupRequestHandler(
             Scheduler scheduler, ClientConnections connections, IdempotencyStore store) {
         this.scheduler = scheduler;
         this.connections = connections;
         this.store = store;
+        deadlines = new AttemptTimers(scheduler, this::onDeadline);
     }
 
     @Override
@@ -77,13 +84,12 @@
         Duration deadline =
                 retry.arrivedAt.plus(retry.operation.clientTimeout()).minus(ANSWER_MARGIN);
         Duration wait = deadline.minus(scheduler.now());
-        scheduler.runAfter(
-                wait.isNegative() ? Duration.ZERO : wait,
-                () -> {
-                    if (waitingRetries.remove(retry)) {
-                        fail(retry, FailureReason.UNKNOWN_END);
-                    }
-                });
+        deadlines.add(retry, wait.isNegative() ? Duration.ZERO : wait);
+    }
+
+    private void onDeadline(RequestAttempt retry) {
+        waitingRetries.remove(retry);
+        fail(retry, FailureReason.UNKNOWN_END);
     }
 
     private void fail(RequestAttempt retry, FailureReason reason) {
@@ -95,12 +101,15 @@
     List<RequestAttempt> takeWaitingRetries() {
         List<RequestAttempt> allWaiting = List.copyOf(waitingRetries);
         waitingRetries.clear();
+        allWaiting.forEach(deadlines::remove);
         return allWaiting;
     }
 
     @Override
     public void onClientDisconnected(RequestAttempt attempt) {
-        // a waiting retry is removed at its deadline
+        waitingRetries.remove(attempt);
+        deadlines.remove(attempt);
+        connections.removeAttempt(attempt);
     }
 
     @Override
