Hold the parsed input of outbound connections to a share of the memory

256 reads of 8 KiB from the processor, the records service, workers and peers might wait for the event loop as parsed messages, some 20 MB, whatever the memory of the server; one of 64 MB has a heap of 16. Found on the paths related to the floods of clients. Their bytes are now counted at ten times their number against a 24th of the memory, beyond which the I/O thread waits as before. OutboundInputTest fails on the code before (2,105,344 bytes read, 287,812 allowed) and passes.

--- a/src/main/java/ochretiller/net/Network.java
+++ b/src/main/java/ochretiller/net/Network.java
@@ -33,6 +33,9 @@
     /** Output that clients have not read may take 1/24 of the server's memory. */
     private static final int UNREAD_MEMORY_DIVISOR = 24;
 
+    /** Messages of outbound connections that wait for the event loop may take as much. */
+    private static final int PARSED_INPUT_MEMORY_DIVISOR = 24;
+
     /** Client connections to assume if their number is not given. */
     private static final int DEFAULT_CLIENT_CONNECTIONS = 64;
 
@@ -44,6 +47,7 @@
     private final NioProcessor acceptedProcessor = new ClientProcessor(threads);
     private final NioProcessor outboundProcessor = new NioProcessor(threads);
     private final NioSocketConnector connector = new NioSocketConnector(threads, outboundProcessor);
+    private final long memoryBytes;
     private final InputLimits inputLimits;
     private final HeldInput heldInput;
     private final UnreadOutput unreadOutput;
@@ -70,6 +74,7 @@
      */
     public Network(Scheduler scheduler, long memoryBytes, int maxClientConnections) {
         this.scheduler = scheduler;
+        this.memoryBytes = memoryBytes;
         inputLimits = InputLimits.of(memoryBytes, maxClientConnections);
         heldInput = new HeldInput(inputLimits.heldBytes());
         unreadOutput = new UnreadOutput(memoryBytes / UNREAD_MEMORY_DIVISOR);
@@ -189,6 +194,11 @@
         return heldInput;
     }
 
+    /** Returns the memory, in bytes, for outbound connections' messages that wait to be handled. */
+    long parsedOutboundInputBytes() {
+        return memoryBytes / PARSED_INPUT_MEMORY_DIVISOR;
+    }
+
     /** Returns the account of the output that clients have not read. */
     UnreadOutput unreadOutput() {
         return unreadOutput;
--- a/src/main/java/ochretiller/net/OutboundSessionHandler.java
+++ b/src/main/java/ochretiller/net/OutboundSessionHandler.java
@@ -11,15 +11,20 @@
  * event loop can process; a peer that violates the protocol is disconnected at once.
  */
 final class OutboundSessionHandler extends SessionHandler {
-    /** Read buffers of all sessions that may be queued for the event loop: a few bursts. */
-    private static final int MAX_QUEUED_BUFFERS = 256;
+    /** Memory of parsed messages, as a multiple of the bytes that were read. */
+    private static final int PARSED_SIZE_FACTOR = 10;
 
     private static final String KIND = "kind";
 
-    private final Semaphore queueSlots = new Semaphore(MAX_QUEUED_BUFFERS);
+    private final int maxQueuedBytes;
+
+    /** Bytes that may be read and queued for the event loop, over all sessions. */
+    private final Semaphore queueCapacity;
 
     OutboundSessionHandler(Network network, Scheduler scheduler) {
         super(network, scheduler);
+        maxQueuedBytes = (int) (network.parsedOutboundInputBytes() / PARSED_SIZE_FACTOR);
+        queueCapacity = new Semaphore(maxQueuedBytes);
     }
 
     /**
@@ -65,7 +70,7 @@
             return;
         }
         if (work != null) {
-            post(connection, work);
+            post(connection, buffer.remaining(), work);
         }
     }
 
@@ -73,11 +78,12 @@
      * Blocks the I/O thread while the queue is full, so that TCP slows the peer down. MINA's
      * suspendRead and resumeRead, called on two threads, could undo each other's effect.
      */
-    private void post(Connection connection, Runnable work) {
-        queueSlots.acquireUninterruptibly();
+    private void post(Connection connection, int readBytes, Runnable work) {
+        int queuedBytes = Math.min(readBytes, maxQueuedBytes);
+        queueCapacity.acquireUninterruptibly(queuedBytes);
         scheduler.post(
                 () -> {
-                    queueSlots.release();
+                    queueCapacity.release(queuedBytes);
                     connection.markUsed(scheduler.now());
                     work.run();
                 });
