Move the flooding clients of HostileClientsIT to a class of their own

FloodingClients has its three kinds of clients; what they send and what the tests check is the same.

--- a/src/test/java/ochretiller/HostileClientsIT.java
+++ b/src/test/java/ochretiller/HostileClientsIT.java
@@ -8,9 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
-import ochretiller.fakes.DaemonThreads;
 import ochretiller.fakes.FakeConnection;
 import ochretiller.fakes.GatewayMessages;
 import org.junit.jupiter.api.AfterEach;
@@ -22,14 +19,12 @@
 
     private final List<FakeConnection> clients = new ArrayList<>();
     private Deployment deployment;
-    private final AtomicBoolean isFloodOver = new AtomicBoolean();
-    private final AtomicLong floodRequests = new AtomicLong();
-    private final AtomicLong floodAnswers = new AtomicLong();
+    private FloodingClients flood;
     private int lastRid;
 
     @AfterEach
     void stop() throws Exception {
-        isFloodOver.set(true);
+        flood.stop();
         for (FakeConnection client : clients) {
             client.close();
         }
@@ -49,6 +44,7 @@
                                         .replaceFirst("\"sockets\":\\d+", "\"sockets\":" + sockets)
                                         .replace("\"giveUpNs\":4000000000", giveUp));
         await(deployment.received, "usage fence");
+        flood = new FloodingClients(deployment);
     }
 
     private FakeConnection connect() throws IOException {
@@ -99,40 +95,17 @@
         assertThat(surplus.readLine()).contains(result);
     }
 
-    /** Sends many requests at once and reads the answers, on ever new connections. */
-    private void flood(int requestsAtOnce, String body) throws IOException {
-        while (!isFloodOver.get()) {
-            StringBuilder requests = new StringBuilder();
-            for (int id = 1; id <= requestsAtOnce; id++) {
-                String rid = String.format("f%015x", floodRequests.incrementAndGet());
-                requests.append(message(id, "read", GatewayMessages.params(rid, null, body)));
-            }
-            try (FakeConnection flooding = deployment.connect()) {
-                DaemonThreads.start(() -> flooding.sendUntilClosed(requests.toString(), 1));
-                for (int i = 0; i < requestsAtOnce && flooding.readLine() != null; i++) {
-                    floodAnswers.incrementAndGet();
-                }
-            }
-        }
-    }
-
-    private void startFlood(int clientCount, int requestsAtOnce, String body) {
-        for (int i = 0; i < clientCount; i++) {
-            DaemonThreads.start(() -> flood(requestsAtOnce, body));
-        }
-    }
-
     // Guards against a server that runs out of memory while clients send many small requests at
     // once, and come again when they are cut off.
     @Test
     void floodOfSmallRequestsDoesNotEndTheServer() throws Exception {
         start(64, 512);
         deployment.services.runHandler = (rid, operation, body) -> {};
-        startFlood(150, 400, "");
-        while (floodAnswers.get() < 200_000 && deployment.isAlive()) {
+        flood.sendRequests(150, 400, "");
+        while (flood.answerCount() < 200_000 && deployment.isAlive()) {
             Thread.onSpinWait();
         }
-        isFloodOver.set(true);
+        flood.stop();
         assertThat(deployment.isAlive()).isTrue();
         assertThat(deployment.allLogLines).noneMatch(line -> line.contains("OutOfMemoryError"));
     }
@@ -144,7 +117,7 @@
         start(64, 512);
         completeAllRuns();
         FakeConnection usual = connect();
-        startFlood(60, 300, "x".repeat(240));
+        flood.sendRequests(60, 300, "x".repeat(240));
         for (int group = 0; group < 60; group++) {
             for (int i = 0; i < 5; i++) {
                 usual.send(read(group * 5L + i, "x".repeat(2_000)));
@@ -153,24 +126,8 @@
                 assertThat(usual.readLine()).contains("\"id\":");
             }
         }
-        isFloodOver.set(true);
-        assertThat(floodAnswers.get()).isPositive();
-    }
-
-    /** Sends unsound requests without a pause, on a new connection whenever the last one ends. */
-    private void sendUnsoundRequests() throws IOException {
-        String requests = message(7, "no-such-operation", "{}").repeat(1_000);
-        while (!isFloodOver.get()) {
-            try (FakeConnection flooding = deployment.connect()) {
-                DaemonThreads.start(
-                        () -> {
-                            while (flooding.readLine() != null) {
-                                floodAnswers.incrementAndGet();
-                            }
-                        });
-                flooding.sendUntilClosed(requests, 1_000);
-            }
-        }
+        flood.stop();
+        assertThat(flood.answerCount()).isPositive();
     }
 
     // Guards against answers that come late or never while one client sends unsound requests on one
@@ -179,10 +136,10 @@
     void requestsBesideOneClientAtFullSpeedAreServedInTime() throws Exception {
         start(64, 512);
         completeAllRuns();
-        DaemonThreads.start(this::sendUnsoundRequests);
+        flood.sendUnsoundRequests();
         FakeConnection usual = connect();
         long slowestNanos = 0;
-        for (int served = 0; served < 300 || floodAnswers.get() < 300_000; served++) {
+        for (int served = 0; served < 300 || flood.answerCount() < 300_000; served++) {
             long start = System.nanoTime();
             usual.send(read(served, "good"));
             assertThat(usual.readLine()).contains("\"result\"");
@@ -216,6 +173,7 @@
     void idOfANonIdempotentRequestRunsOnceAlthoughItsClientLeft() throws Exception {
         deployment = new Deployment(json -> json.replace("\"pure\"", "\"unsafe\""));
         await(deployment.received, "usage fence");
+        flood = new FloodingClients(deployment);
         FakeConnection first = connect();
         String request = read(1, "wait");
         first.send(request);
@@ -260,27 +218,6 @@
         assertThat(deployment.isAlive()).isTrue();
     }
 
-    /** Sends retries of an order with other bodies and leaves, again and again. */
-    private void sendConflictingRetries() throws IOException {
-        String body = "y".repeat(2_000);
-        while (!isFloodOver.get()) {
-            StringBuilder retries = new StringBuilder();
-            for (int id = 1; id <= 31; id++) {
-                String rid = String.format("f%015x", floodRequests.incrementAndGet());
-                retries.append(message(id, "order", GatewayMessages.params(rid, TOKEN, body)));
-            }
-            FakeConnection leaving = deployment.connect();
-            leaving.sendUntilClosed(retries + message(32, "ping", "{}"), 1);
-            for (String line = leaving.readLine(); line != null; line = leaving.readLine()) {
-                if (line.contains("\"id\":32,")) {
-                    floodAnswers.incrementAndGet(); // all retries before it were read
-                    break;
-                }
-            }
-            leaving.reset();
-        }
-    }
-
     // Guards against memory that grows with retries whose clients have left, because each is to be
     // compared with the order it repeats a second later.
     @Test
@@ -290,13 +227,11 @@
         FakeConnection usual = connect();
         usual.send(order(1, "x"));
         await(deployment.received, "begin .* order");
-        for (int i = 0; i < 20; i++) {
-            DaemonThreads.start(this::sendConflictingRetries);
-        }
-        while (floodAnswers.get() < 2_000 && deployment.isAlive()) {
+        flood.sendRetries(20, TOKEN, "y".repeat(2_000));
+        while (flood.answerCount() < 2_000 && deployment.isAlive()) {
             Thread.onSpinWait();
         }
-        isFloodOver.set(true);
+        flood.stop();
         assertThat(deployment.isAlive()).isTrue();
         deployment.services.complete(rid(1), "ran");
         assertThat(usual.readLine()).contains(GatewayMessages.base64("ran"));
