Cancel the timers of calls, runs and writes when they have ended

Memory grew with the rate of what had ended: a timer could not be cancelled, and those of calls to the records service, of runs on workers and of writes of remembered results held requests and results until their timeouts. The writes of remembered results have no such test of their own.

--- a/src/main/java/ochretiller/net/Scheduler.java
+++ b/src/main/java/ochretiller/net/Scheduler.java
@@ -30,6 +30,7 @@
      *
      * @param delay the delay
      * @param work the task
+     * @return the task; a caller that may be done with it earlier cancels it then
      */
-    void runAfter(Duration delay, Runnable work);
+    ScheduledTask runAfter(Duration delay, Runnable work);
 }
--- a/src/main/java/ochretiller/node/EventLoop.java
+++ b/src/main/java/ochretiller/node/EventLoop.java
@@ -4,11 +4,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import ochretiller.net.ScheduledTask;
 import ochretiller.net.Scheduler;
 
 /**
@@ -28,15 +29,40 @@
     private static final long MAX_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final LinkedBlockingQueue<Runnable> postedTasks = new LinkedBlockingQueue<>();
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparing(Timer::dueAt).thenComparing(Timer::sequence));
+    private final TreeSet<Timer> timers =
+            new TreeSet<>(
+                    Comparator.<Timer, Duration>comparing(timer -> timer.dueAt)
+                            .thenComparing(timer -> timer.sequence));
     private final long startedNanos = System.nanoTime();
     private volatile Duration now = Duration.ZERO;
     private long timerSequence;
     private boolean isStopped;
 
     /** A scheduled task; tasks with the same due time run in the order of their sequence. */
-    private record Timer(Duration dueAt, long sequence, Runnable work) {}
+    private final class Timer implements ScheduledTask {
+        private final Duration dueAt;
+        private final long sequence;
+        private final Runnable work;
+        private boolean isCancelled;
+
+        Timer(Duration dueAt, long sequence, Runnable work) {
+            this.dueAt = dueAt;
+            this.sequence = sequence;
+            this.work = work;
+        }
+
+        @Override
+        public void cancel() {
+            isCancelled = true; // in case it is in the current batch already
+            timers.remove(this);
+        }
+
+        private void run() {
+            if (!isCancelled) {
+                work.run();
+            }
+        }
+    }
 
     @Override
     public Duration now() {
@@ -58,9 +84,11 @@
     }
 
     @Override
-    public void runAfter(Duration delay, Runnable work) {
+    public ScheduledTask runAfter(Duration delay, Runnable work) {
         timerSequence++;
-        timers.add(new Timer(now.plus(delay), timerSequence, work));
+        Timer timer = new Timer(now.plus(delay), timerSequence, work);
+        timers.add(timer);
+        return timer;
     }
 
     /** Makes {@link #run} return after the current batch. */
@@ -80,8 +108,8 @@
             awaitWork(batch);
             postedTasks.drainTo(batch, MAX_BATCH_TASKS);
             now = Duration.ofNanos(elapsedNanos());
-            while (!timers.isEmpty() && timers.peek().dueAt.compareTo(now) <= 0) {
-                batch.add(timers.poll().work);
+            while (!timers.isEmpty() && timers.first().dueAt.compareTo(now) <= 0) {
+                batch.add(timers.pollFirst()::run);
             }
             batch.forEach(EventLoop::runGuarded);
             batch.clear();
@@ -106,7 +134,7 @@
         if (timers.isEmpty()) {
             return MAX_WAIT_NANOS;
         }
-        return Math.max(0, timers.peek().dueAt.toNanos() - elapsedNanos());
+        return Math.max(0, timers.first().dueAt.toNanos() - elapsedNanos());
     }
 
     /** Logs exceptions, since one failed task must not stop the server. */
--- a/src/main/java/ochretiller/node/IdempotencyRecordWriter.java
+++ b/src/main/java/ochretiller/node/IdempotencyRecordWriter.java
@@ -5,6 +5,7 @@
 import ochretiller.idempotency.durable.IdempotencyRecord;
 import ochretiller.idempotency.durable.InvocationProgress;
 import ochretiller.model.Operation;
+import ochretiller.net.ScheduledTask;
 import ochretiller.net.Scheduler;
 import ochretiller.store.AppendResult;
 import ochretiller.store.Store;
@@ -77,6 +78,7 @@
         private final IdempotencyRecord marker;
         private final Operation operation;
         private final MarkerListener listener;
+        private ScheduledTask timeout;
         private boolean isCompleted;
 
         MarkerWrite(IdempotencyRecord marker, Operation operation, MarkerListener listener) {
@@ -87,6 +89,7 @@
 
         void start(Duration deadline) {
             Duration now = scheduler.now();
+            timeout = scheduler.runAfter(policy.markerTimeout(deadline, now), this::onTimeout);
             long append = registerAppend(now);
             long expiry = expiryMillis(marker, operation);
             store.putNew(
@@ -98,12 +101,12 @@
                         policy.appendCompleted(append);
                         onAppended(result);
                     });
-            scheduler.runAfter(policy.markerTimeout(deadline, now), this::onTimeout);
         }
 
         private void onAppended(AppendResult result) {
             boolean hasTimedOut = isCompleted;
             isCompleted = true;
+            timeout.cancel();
             if (result == AppendResult.DURABLE && !hasTimedOut) {
                 listener.onMarkerDurable();
                 return;
@@ -130,6 +133,7 @@
         private final Operation operation;
         private final byte[] value;
         private final Runnable onStored;
+        private ScheduledTask timeout;
         private boolean isNotified;
 
         ResultWrite(FinishedRun run, Runnable onStored) {
@@ -141,6 +145,9 @@
 
         void start(Duration deadline) {
             Duration now = scheduler.now();
+            timeout =
+                    scheduler.runAfter(
+                            policy.answerTimeout(deadline, now), () -> notifyStored(false));
             long append = registerAppend(now);
             long expiry = expiryMillis(outcome, operation);
             store.put(
@@ -152,7 +159,6 @@
                         policy.appendCompleted(append);
                         onAppended(result == AppendResult.DURABLE);
                     });
-            scheduler.runAfter(policy.answerTimeout(deadline, now), () -> notifyStored(false));
         }
 
         private void onAppended(boolean durable) {
@@ -167,6 +173,7 @@
                 return;
             }
             isNotified = true;
+            timeout.cancel();
             if (!durable) {
                 metrics.earlyAnswers.add();
             }
--- a/src/main/java/ochretiller/records/PendingCall.java
+++ b/src/main/java/ochretiller/records/PendingCall.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import ochretiller.net.ScheduledTask;
 
 /** A call that has not ended. Confined to the event loop. */
 final class PendingCall {
@@ -22,6 +23,9 @@
     /** The connection that the call was written to; empty until it is written. */
     Optional<RecordsConnection> connection = Optional.empty();
 
+    /** Ends the call when its timeout is over; cancelled when it has ended. */
+    ScheduledTask timeoutTask;
+
     PendingCall(
             String requestId,
             Duration timeout,
--- a/src/main/java/ochretiller/records/RecordsClient.java
+++ b/src/main/java/ochretiller/records/RecordsClient.java
@@ -81,13 +81,14 @@
         PendingCall call = new PendingCall(requestId, timeout, body, scheduler.now(), listener);
         pendingCalls.put(requestId, call);
         unsentCalls.add(call);
-        scheduler.runAfter(
-                timeout,
-                () -> {
-                    if (isPending(call)) {
-                        timeOut(call);
-                    }
-                });
+        call.timeoutTask =
+                scheduler.runAfter(
+                        timeout,
+                        () -> {
+                            if (isPending(call)) {
+                                timeOut(call);
+                            }
+                        });
         sendUnsent();
     }
 
@@ -175,7 +176,11 @@
      */
     public void cancel(String requestId) {
         PendingCall call = pendingCalls.remove(requestId);
-        if (call == null || unsentCalls.remove(call)) {
+        if (call == null) {
+            return;
+        }
+        call.timeoutTask.cancel();
+        if (unsentCalls.remove(call)) {
             return;
         }
         // The connection is not reused: a late reply could be mistaken for that of another call.
@@ -188,6 +193,7 @@
 
     private void finish(PendingCall call, CallOutcome.Status status, byte[] reply) {
         pendingCalls.remove(call.requestId, call);
+        call.timeoutTask.cancel();
         Duration elapsed = scheduler.now().minus(call.startedAt);
         call.listener.onCallFinished(new CallOutcome(status, elapsed), reply);
     }
--- a/src/main/java/ochretiller/workers/WorkerConnection.java
+++ b/src/main/java/ochretiller/workers/WorkerConnection.java
@@ -1,9 +1,11 @@
 package ochretiller.workers;
 
+import java.util.Optional;
 import java.util.logging.Logger;
 import ochretiller.net.CloseCode;
 import ochretiller.net.Connection;
 import ochretiller.net.ConnectionHandler;
+import ochretiller.net.ScheduledTask;
 import ochretiller.net.Scheduler;
 import ochretiller.uwsgi.UwsgiException;
 import ochretiller.uwsgi.UwsgiRequest;
@@ -25,7 +27,9 @@
     private final Connection connection;
     private final UwsgiRunBackend backend;
     private final UwsgiResponseDecoder decoder = new UwsgiResponseDecoder(MAX_ANSWER_BYTES);
-    private boolean awaitsLateAnswer;
+
+    /** Ends the wait for a late answer; empty while none is waited for. */
+    private Optional<ScheduledTask> lateAnswerTimeout = Optional.empty();
 
     /**
      * Wraps an established connection. Called on the I/O thread.
@@ -65,9 +69,11 @@
 
     /** Keeps the connection of a timed-out run open for a while, to count a late answer. */
     void awaitLateAnswer(Scheduler scheduler) {
-        awaitsLateAnswer = true;
         run.pool().lateAnswerConnections++;
-        scheduler.runAfter(run.pool().lateAnswerTime(), () -> drop(CloseCode.GIVEN_UP));
+        lateAnswerTimeout =
+                Optional.of(
+                        scheduler.runAfter(
+                                run.pool().lateAnswerTime(), () -> drop(CloseCode.GIVEN_UP)));
     }
 
     /** Closes the connection immediately. */
@@ -121,7 +127,8 @@
     @Override
     public void onClosed(CloseCode code) {
         backend.remove(this);
-        if (awaitsLateAnswer) {
+        if (lateAnswerTimeout.isPresent()) {
+            lateAnswerTimeout.get().cancel();
             run.pool().lateAnswerConnections--;
         }
         if (run.isServedBy(this)) {
--- a/src/main/java/ochretiller/workers/WorkerRun.java
+++ b/src/main/java/ochretiller/workers/WorkerRun.java
@@ -1,7 +1,9 @@
 package ochretiller.workers;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import ochretiller.execution.RunBackend.RunListener;
@@ -9,6 +11,7 @@
 import ochretiller.model.RunOutcome;
 import ochretiller.net.CloseCode;
 import ochretiller.net.Network;
+import ochretiller.net.ScheduledTask;
 import ochretiller.net.Scheduler;
 import ochretiller.pools.RequestOutcome;
 import ochretiller.pools.WorkerId;
@@ -50,6 +53,9 @@
     private boolean isOver;
     private Optional<WorkerConnection> connection = Optional.empty();
 
+    /** Tasks that end the run, or its current attempt, if nothing else does. */
+    private final List<ScheduledTask> timeouts = new ArrayList<>();
+
     WorkerRun(
             UwsgiRunBackend backend,
             Scheduler scheduler,
@@ -94,9 +100,10 @@
             // A keyed run may complete after its deadline; its result then answers the retries.
             timeout = timeout.plus(pool.lateAnswerTime());
         }
-        scheduler.runAfter(
-                timeout.isNegative() ? Duration.ZERO : timeout,
-                () -> abandon(RequestOutcome.TIMED_OUT));
+        timeouts.add(
+                scheduler.runAfter(
+                        timeout.isNegative() ? Duration.ZERO : timeout,
+                        () -> abandon(RequestOutcome.TIMED_OUT)));
         offerTo(pool.choose(startedAt));
     }
 
@@ -116,7 +123,7 @@
                 pool.addressOf(next.get()),
                 established -> new WorkerConnection(this, attempt, established, backend, scheduler),
                 () -> onNeverStarted(attempt));
-        scheduler.runAfter(CONNECT_TIMEOUT, () -> onNeverStarted(attempt));
+        timeouts.add(scheduler.runAfter(CONNECT_TIMEOUT, () -> onNeverStarted(attempt)));
     }
 
     private boolean isCurrent(int attempt) {
@@ -242,6 +249,8 @@
 
     private void finish(RunOutcome.Status status, byte[] result) {
         isOver = true;
+        timeouts.forEach(ScheduledTask::cancel);
+        timeouts.clear();
         backend.remove(this);
         Duration elapsed = scheduler.now().minus(startedAt);
         // Posted, because the listener must not be called before startRun returns.
--- a/src/test/java/ochretiller/ManualEventLoop.java
+++ b/src/test/java/ochretiller/ManualEventLoop.java
@@ -2,9 +2,10 @@
 
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import ochretiller.net.ScheduledTask;
 import ochretiller.net.Scheduler;
 
 /**
@@ -15,8 +16,8 @@
     private static final long MAX_WAIT_S = 10;
 
     private final LinkedBlockingQueue<Runnable> postedTasks = new LinkedBlockingQueue<>();
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparing(Timer::dueAt).thenComparing(Timer::sequence));
+    private final TreeSet<Timer> timers =
+            new TreeSet<>(Comparator.comparing(Timer::dueAt).thenComparing(Timer::sequence));
     private volatile Duration now = Duration.ofSeconds(100);
     private long lastSequence;
 
@@ -33,8 +34,10 @@
     }
 
     @Override
-    public void runAfter(Duration span, Runnable work) {
-        timers.add(new Timer(now.plus(span), ++lastSequence, work));
+    public ScheduledTask runAfter(Duration span, Runnable work) {
+        Timer timer = new Timer(now.plus(span), ++lastSequence, work);
+        timers.add(timer);
+        return () -> timers.remove(timer);
     }
 
     /** Waits until at least this many tasks are posted, without running them. */
@@ -65,12 +68,17 @@
         }
     }
 
+    /** Returns the number of timers that have not run. */
+    public int timerCount() {
+        return timers.size();
+    }
+
     /** Advances the time and runs the timers that fall due, but no posted tasks. */
     public void advanceTimers(Duration span) {
         Duration end = now.plus(span);
-        while (!timers.isEmpty() && timers.peek().dueAt.compareTo(end) <= 0) {
-            now = timers.peek().dueAt;
-            timers.poll().work.run();
+        while (!timers.isEmpty() && timers.first().dueAt.compareTo(end) <= 0) {
+            now = timers.first().dueAt;
+            timers.pollFirst().work.run();
         }
         now = end;
     }
--- a/src/test/java/ochretiller/records/RecordsClientTest.java
+++ b/src/test/java/ochretiller/records/RecordsClientTest.java
@@ -126,6 +126,20 @@
         network.stop();
     }
 
+    /** Guards against memory that grows with calls that have ended, held until they time out. */
+    @Test
+    void endedCallLeavesNoTimer() {
+        RecordsClient records = new RecordsClient(loop, network, null, 8);
+        int timers = loop.timerCount();
+        call(records, "ended");
+        loop.runPosted();
+        assertThat(outcomes).containsExactly(CallOutcome.Status.UNREACHABLE);
+        call(records, "cancelled");
+        records.cancel("cancelled");
+        assertThat(loop.timerCount()).isEqualTo(timers);
+        network.stop();
+    }
+
     /** Guards against calls that end within their start, each making the next one. */
     @Test
     void callThatCannotBeMadeEndsAfterItsStartHasReturned() throws Exception {
--- a/src/test/java/ochretiller/workers/UwsgiRunBackendTest.java
+++ b/src/test/java/ochretiller/workers/UwsgiRunBackendTest.java
@@ -38,6 +38,19 @@
                 loop, network, List.of(config), new SplittableRandom(7), new Metrics());
     }
 
+    /** Guards against memory that grows with runs that have ended, held until their deadlines. */
+    @Test
+    void endedRunLeavesNoTimer() {
+        UwsgiRunBackend backend = backendWithoutWorkers();
+        int timers = loop.timerCount();
+        Duration deadline = loop.now().plusSeconds(1);
+        backend.startRun(
+                new RunRequest("rid", OPERATION, new byte[0], false, "token", deadline),
+                (status, elapsed, result) -> {});
+        loop.runPosted();
+        assertThat(loop.timerCount()).isEqualTo(timers);
+    }
+
     /** Guards against runs that end within their start, each starting the next one. */
     @Test
     void runThatNoWorkerCanTakeEndsAfterItsStartHasReturned() {
