Don't count accepted requests towards a flood

A usual client that kept 30 of 32 allowed requests open was closed as FLOOD, without answers, beside 400 clients that sent 300 at once: by turns it was served more slowly than it sent, and over 128 KiB within 1 s or more without a pause counted as a flood. Only input beside accepted requests counts now.

--- a/src/main/java/ochretiller/frontend/ClientConnection.java
+++ b/src/main/java/ochretiller/frontend/ClientConnection.java
@@ -22,6 +22,7 @@
     private final Map<Long, RequestAttempt> openAttempts = new LinkedHashMap<>();
     private boolean hasSentValidMessage;
     private boolean isSurplus;
+    private boolean hasAcceptedRequest;
     private int pendingChecks;
     private boolean inputEnded;
     private boolean hasViolatedProtocol;
@@ -94,6 +95,18 @@
         return hasSentValidMessage;
     }
 
+    /** Records that a request was accepted, whatever becomes of it. */
+    void markAcceptedRequest() {
+        hasAcceptedRequest = true;
+    }
+
+    @Override
+    public boolean takeAcceptedRequest() {
+        boolean hadAcceptedRequest = hasAcceptedRequest;
+        hasAcceptedRequest = false;
+        return hadAcceptedRequest;
+    }
+
     /** Returns whether the connection exceeds the limit, so that its requests are rejected. */
     boolean isSurplus() {
         return isSurplus;
--- a/src/main/java/ochretiller/frontend/ClientConnections.java
+++ b/src/main/java/ochretiller/frontend/ClientConnections.java
@@ -149,6 +149,7 @@
     public void addAttempt(RequestAttempt attempt) {
         ClientConnection peer = attempt.clientConnection;
         peer.markValidMessage();
+        peer.markAcceptedRequest();
         peer.openAttempts().put(attempt.number, attempt);
         attempts.put(attempt.requestId, attempt);
         openAttemptCount++;
--- a/src/main/java/ochretiller/net/ClientInput.java
+++ b/src/main/java/ochretiller/net/ClientInput.java
@@ -11,7 +11,8 @@
  * The input of one client connection. What was read waits as bytes, and the event loop decodes it
  * in turns: each turn ends after a few messages, and the connection queues up behind all others for
  * the next. While {@link InputLimits#MAX_WAITING_READS} reads wait, nothing more is read, and TCP
- * slows the client down. A client that is slowed down for long is a flood.
+ * slows the client down. A client that is slowed down for long by other input than accepted
+ * requests is a flood.
  *
  * <p>{@link #add} and {@link #end} are called on the I/O thread; everything else runs on the event
  * loop.
@@ -27,8 +28,8 @@
     private static final int COMPLETED_SLICES_PER_TURN = 4;
 
     /**
-     * Input that a connection may send without a pause: as many requests of maximum length as a
-     * connection may have open.
+     * Input beside accepted requests that a connection may send without a pause: as many requests
+     * of maximum length as a connection may have open.
      */
     private static final int MAX_BYTES_BEHIND = 128 * 1024;
 
@@ -58,7 +59,12 @@
     /** Whether reads wait, and so a turn is or will be posted. */
     private boolean hasWaitingReads;
 
+    /** Bytes decoded since the last message was complete. */
+    private long undecidedBytes;
+
+    /** Bytes beside accepted requests that were decoded since no read waited. */
     private long bytesBehind;
+
     private Duration behindSince = Duration.ZERO;
 
     ClientInput(
@@ -157,8 +163,9 @@
         if (position == read.length) {
             removeRead();
         }
-        checkRate();
         work.ifPresent(Runnable::run);
+        countBehind(work.isPresent());
+        checkRate();
         heldInput.update(this, handler.heldInputBytes(), work.isPresent());
         heldInput.closeExcess();
         return work.isPresent();
@@ -167,10 +174,7 @@
     private Optional<Runnable> decodeSlice(byte[] read) {
         int from = position;
         position = Math.min(from + SLICE_BYTES, read.length);
-        if (bytesBehind == 0) {
-            behindSince = scheduler.now();
-        }
-        bytesBehind += position - from;
+        undecidedBytes += position - from;
         Optional<Runnable> work = Optional.empty();
         try {
             work = Optional.ofNullable(handler.decode(read, from, position));
@@ -182,6 +186,18 @@
         return work;
     }
 
+    /** Counts the bytes of messages, unless they include an accepted request. */
+    private void countBehind(boolean hasCompletedMessage) {
+        boolean isAccepted = handler.takeAcceptedRequest();
+        if (bytesBehind == 0) {
+            behindSince = scheduler.now();
+        }
+        if (hasCompletedMessage) {
+            bytesBehind += isAccepted ? 0 : undecidedBytes;
+            undecidedBytes = 0;
+        }
+    }
+
     /** The age of an incomplete message counts from the read that completed the one before. */
     private void updateIncompleteSince(boolean hasCompletedMessage) {
         if (!handler.hasPartialMessage()) {
--- a/src/main/java/ochretiller/net/ConnectionHandler.java
+++ b/src/main/java/ochretiller/net/ConnectionHandler.java
@@ -34,6 +34,14 @@
         // Needed only by handlers of client connections.
     }
 
+    /**
+     * Returns whether a client's request was accepted since the last call, which does not count as
+     * a flood. Called on the event loop.
+     */
+    default boolean takeAcceptedRequest() {
+        return false;
+    }
+
     /**
      * Called when the peer has violated the protocol or a limit, and is no longer read from. Called
      * on the event loop, after the work that was decoded before the violation.
--- a/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
+++ b/src/test/java/ochretiller/frontend/ClientConnectionsTest.java
@@ -31,6 +31,7 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(4);
     private static final int LIMIT = 16;
+    private static final int REQUESTS_AT_ONCE = 300_000;
     private static final long MEMORY_BYTES = 64L * 1024 * 1024;
     private static final Operation READ =
             new Operation(
@@ -305,6 +306,26 @@
         assertThat(flooding.readLine()).isNull();
     }
 
+    // Guards against a usual client that is closed as a flood, because beside others it is served
+    // more
+    // slowly than it sends, although it never has more requests open than it may.
+    @Test
+    @Timeout(30)
+    void clientWhoseRequestsAreAcceptedIsNoFlood() throws Exception {
+        FakeConnection usual = connect();
+        Thread sender = new Thread(() -> usual.sendUntilClosed("R".repeat(REQUESTS_AT_ONCE), 1));
+        sender.setDaemon(true);
+        sender.start();
+        for (int answered = 0; answered < REQUESTS_AT_ONCE && violations.isEmpty(); ) {
+            loop.runNext();
+            loop.advanceTimers(ONE_MS.multipliedBy(20));
+            for (; !arrived.isEmpty(); answered++) {
+                clientConnections.abort(arrived.remove(0)); // is no longer waited for
+            }
+        }
+        assertThat(violations).isEmpty();
+    }
+
     @Test
     void answerArrivesAlthoughTheConnectionIsClosedWithUnreadInput() throws Exception {
         FakeConnection bad = connect();
