Correct three comments that earlier changes left behind

Connection.incompleteSince is set on the event loop since input is decoded there, onReleased serves the account of unread output too, and the users of SharedCapacity choose among holders by a whole or half a share.

--- a/src/main/java/ochretiller/collections/SharedCapacity.java
+++ b/src/main/java/ochretiller/collections/SharedCapacity.java
@@ -7,7 +7,7 @@
 
 /**
  * An account of what several holders take of a common capacity. It only counts: its user decides
- * what becomes of a holder that takes more than an equal share while the capacity is exceeded. Not
+ * what becomes of a holder that takes more than its share while the capacity is exceeded. Not
  * thread-safe.
  *
  * @param <K> the type of the holders
--- a/src/main/java/ochretiller/net/Connection.java
+++ b/src/main/java/ochretiller/net/Connection.java
@@ -214,7 +214,7 @@
         return readingStopped;
     }
 
-    /** Records when the current incomplete message began. Called on the I/O thread. */
+    /** Records when the current incomplete message began. Called on the event loop. */
     void incompleteSince(Optional<Duration> since) {
         incompleteSince = since;
     }
--- a/src/main/java/ochretiller/net/SessionHandler.java
+++ b/src/main/java/ochretiller/net/SessionHandler.java
@@ -45,7 +45,7 @@
 
     /** Called on the event loop when a connection has been closed. */
     void onReleased(IoSession session) {
-        // Needed only where the event loop holds input.
+        // Needed only where input or output is accounted for.
     }
 
     /** Returns whether a connection that was closed with this code is logged. */
